--- /dev/null
+++ b/simhost/src/settings.rs
@@ -0,0 +1,183 @@
+//! The start-up settings as JSON. Unknown keys are skipped; a missing required key is named.
+//!
+//! Known to the wire, but read by no decision and so dropped here: names and the lists of names (`dcs`, `kinds`,
+//! `tiers`), `blend`, `clients`, `domain_type`, `family_info`, `stats`, `tick`, `weights`, `worth_by`,
+//! `over_share_worth`; of `classes[]` `aim_stretch`, `importance` and `streaming`; of `charges` all but crossings;
+//! of `invariants` `drain_grace`, `fall` and `grace_to_answer` (the module stops, spreads and answers well within
+//! them); of `permissions` those to probe, to tell peers and to send second copies, and the limits of CPU, open
+//! requests, connections and dialling. Of the events the codec drops probe results, peer messages and load
+//! reports; of a request its key, its cost hint and its marks; of a list entry its scale. Never asked for: single
+//! fetches of the list, and unsubscribing.
+use oakflow::{Class, DedupScope, Effect, Settings, Tenant};
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+struct Setup {
+    balancers: u32,
+    index: u32,
+    classes: Vec<ClassSetup>,
+    permissions: Permissions,
+    invariants: Invariants,
+    membership_mode: String,
+    #[serde(default)]
+    tenants: Vec<TenantSetup>,
+    #[serde(default)]
+    stage: u32,
+    #[serde(default)]
+    zone: u16,
+    #[serde(default)]
+    charges: Charges,
+}
+
+#[derive(Deserialize)]
+struct ClassSetup {
+    objective: f64,
+    deadline: f64,
+    effect: String,
+    #[serde(default = "all")]
+    dedup_scope: String,
+    #[serde(default)]
+    repeat_window: f64,
+    #[serde(default)]
+    late_worth: f64,
+    runs_in: Option<Vec<u16>>,
+    kinds_only: Option<Vec<u8>>,
+}
+
+#[derive(Deserialize)]
+struct TenantSetup {
+    share: f64,
+    #[serde(default)]
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Permissions {
+    attempts_cap: u32,
+    #[serde(default)]
+    cancel: bool,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    max_retry_after: f64,
+    #[serde(default = "idle")]
+    idle_close: f64,
+}
+
+#[derive(Deserialize)]
+struct Invariants {
+    cold_from: f64,
+    ramp_time: f64,
+    tip_multiple: f64,
+    #[serde(default = "ask")]
+    ask_within: f64,
+    #[serde(default)]
+    late_shedding: bool,
+}
+
+#[derive(Deserialize, Default)]
+struct Charges {
+    #[serde(default)]
+    cross_zone: f64,
+}
+
+fn all() -> String {
+    "all".into()
+}
+fn idle() -> f64 {
+    Settings::default().idle_close
+}
+fn ask() -> f64 {
+    Settings::default().ask_within
+}
+
+/// Reads settings; the message names the key at fault.
+pub fn parse(json: &[u8]) -> Result<Settings, String> {
+    let mut json = serde_json::Deserializer::from_slice(json);
+    // The path names the key of a value of the wrong type; the message alone does not.
+    let s: Setup = serde_path_to_error::deserialize(&mut json).map_err(|e| match e.path().to_string() {
+        path if path == "." => e.inner().to_string(),
+        path => format!("{path}: {}", e.inner()),
+    })?;
+    json.end().map_err(|e| e.to_string())?;
+    let ask_for_list = match s.membership_mode.as_str() {
+        "pushed" => false,
+        "on_request" => true,
+        other => return Err(format!("membership_mode: unknown mode {other:?}")),
+    };
+    let settings = Settings {
+        index: s.index,
+        balancers: s.balancers,
+        stage: s.stage,
+        zone: s.zone,
+        classes: s.classes.iter().map(class).collect::<Result<_, _>>()?,
+        tenants: s.tenants.iter().map(|t| Tenant { share: t.share, quota_per_s: t.quota_per_s }).collect(),
+        attempts_cap: s.permissions.attempts_cap,
+        cancel: s.permissions.cancel,
+        ask_for_list,
+        ask_within: s.invariants.ask_within,
+        idle_close: s.permissions.idle_close,
+        max_retry_after: if s.permissions.retry_after { s.permissions.max_retry_after } else { 0.0 },
+        cold_from: s.invariants.cold_from,
+        ramp_time: s.invariants.ramp_time,
+        tip_multiple: s.invariants.tip_multiple,
+        late_shedding: s.invariants.late_shedding,
+        cross_zone_price: s.charges.cross_zone,
+    };
+    settings.validate().map_err(|e| e.to_string())?;
+    Ok(settings)
+}
+
+fn class(c: &ClassSetup) -> Result<Class, String> {
+    let effect = match c.effect.as_str() {
+        "free" => Effect::Free,
+        "single_shot" => Effect::SingleShot,
+        "guarded" => {
+            let scope = match c.dedup_scope.as_str() {
+                "all" => DedupScope::All,
+                "zone" => DedupScope::Zone,
+                "cell" => DedupScope::Cell,
+                other => return Err(format!("classes.dedup_scope: unknown scope {other:?}")),
+            };
+            Effect::Guarded { scope, window: c.repeat_window }
+        }
+        other => return Err(format!("classes.effect: unknown effect {other:?}")),
+    };
+    let (runs_in, kinds_only) = (c.runs_in.clone(), c.kinds_only.clone());
+    let (objective, deadline, late_worth) = (c.objective, c.deadline, c.late_worth);
+    Ok(Class { objective, deadline, effect, late_worth, runs_in, kinds_only })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MINIMAL: &str = r#"{"balancers": 2, "index": 1, "membership_mode": "pushed", "novel": [1],
+        "classes": [{"objective": 100, "deadline": 400, "effect": "guarded", "dedup_scope": "cell",
+                     "repeat_window": 900}],
+        "permissions": {"attempts_cap": 3},
+        "invariants": {"fall": 1000, "cold_from": 0.2, "ramp_time": 9000, "tip_multiple": 3}}"#;
+
+    #[test]
+    fn missing_optional_keys_get_defaults_and_unknown_ones_are_skipped() {
+        let s = parse(MINIMAL.as_bytes()).unwrap();
+        assert_eq!(s.classes[0].effect, Effect::Guarded { scope: DedupScope::Cell, window: 900.0 });
+        assert_eq!((s.idle_close, s.ask_within, s.stage, s.ask_for_list), (5000.0, 10_000.0, 0, false));
+    }
+
+    #[test]
+    fn a_missing_required_key_and_a_bad_value_are_named() {
+        let error = |from: &str, to: &str| parse(MINIMAL.replace(from, to).as_bytes()).unwrap_err();
+        assert!(error("\"balancers\": 2, ", "").contains("balancers"));
+        assert!(error("\"tip_multiple\": 3", "\"x\": 1").contains("tip_multiple"));
+        assert!(error("guarded", "sometimes").contains("sometimes"));
+        assert!(error("pushed", "shouted").contains("shouted"));
+        assert!(error("\"balancers\": 2", "\"balancers\": 0").contains("balancers"));
+        assert!(error("\"ramp_time\": 9000", "\"ramp_time\": \"x\"")
+            .contains("invariants.ramp_time: invalid type"));
+        assert!(error("\"objective\": 100", "\"objective\": []").contains("classes[0].objective"));
+        assert!(error("\"effect\"", "\"runs_in\": [], \"effect\"").contains("classes.runs_in"));
+        assert!(parse(b"{").is_err());
+        assert!(parse(format!("{MINIMAL} x").as_bytes()).is_err(), "something follows the settings");
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,37 @@
+//! The decisions of a load balancer for services that call services, as a sans-I/O state machine.
+//!
+//! A [`Balancer`] is told what happens ([`Event`]) and answers with what to do ([`Action`]); it opens no
+//! socket, reads no clock and shares nothing with other instances.
+//!
+//! ```
+//! use oakflow::*;
+//!
+//! let mut balancer = Balancer::new(Settings::default(), 7, 0.0).expect("settings");
+//! let mut actions = Vec::new();
+//! let (zone, kind, group, availability) = (0, 0, 0, Availability::Ready);
+//! let member = Member { id: UpstreamId(1), zone, kind, group, availability, since: 0.0 };
+//! balancer.handle(0.0, Event::Membership(Membership::Full(vec![member])), &mut actions);
+//! actions.clear();
+//!
+//! let id = RequestId(1);
+//! let request = Request { id, class: 0, tenant: 0, deadline: 3000.0 };
+//! balancer.handle(1.0, Event::Request(request), &mut actions);
+//! assert!(matches!(actions[0], Action::Send { request, upstream: UpstreamId(1), .. } if request == id));
+//!
+//! actions.clear();
+//! let answer = Event::Outcome { request: id, attempt: 0, ending: Ending::Ok, duration: 20.0, closed: true };
+//! balancer.handle(21.0, answer, &mut actions);
+//! assert!(actions.is_empty(), "a served request is over");
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+mod interface;
+mod policy;
+
+pub use interface::*;
+pub use policy::{limits, Balancer};
+
+/// Runs the README's example with the documentation tests.
+#[cfg(doctest)]
+#[doc = include_str!("../README.md")]
+struct Readme;
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,53 @@
+//! The published rule as a pure function: the post's worked table, edges, and what always holds.
+use oakflow::limits;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// The post prints whole numbers, rounded loosely: it has A at 3 in cycle 3, where its demand was 3.
+fn near(got: &[f64], want: &[f64]) {
+    for (g, w) in got.iter().zip(want) {
+        assert!((g - w).abs() <= 0.75, "limits {got:?}, the table has {want:?}");
+    }
+}
+
+#[test]
+fn the_posts_worked_table() {
+    let equal = [1.0; 4];
+    let next = |demands: &[f64]| limits(40.0, demands, &equal, 0.1);
+    // The first cycle splits equally: nothing was asked yet, and all that is left goes back in parts.
+    near(&next(&[0.0; 4]), &[10.0; 4]);
+    near(&next(&[2.0, 15.0, 10.0, 10.0]), &[5.0, 15.0, 10.0, 10.0]);
+    near(&next(&[3.0, 15.0, 50.0, 10.0]), &[3.0, 11.0, 16.0, 10.0]);
+    near(&next(&[0.0, 15.0, 50.0, 5.0]), &[1.0, 12.0, 22.0, 5.0]);
+}
+
+#[test]
+fn edges() {
+    assert_eq!(limits(0.0, &[3.0, 0.0], &[1.0, 1.0], 0.1), [0.0, 0.0]);
+    assert_eq!(limits(12.0, &[50.0], &[1.0], 0.1), [12.0], "one tenant has it all and no one to borrow from");
+    assert_eq!(limits(12.0, &[0.0], &[1.0], 0.1), [12.0]);
+    assert_eq!(limits(30.0, &[90.0, 40.0, 70.0], &[1.0; 3], 0.1), [10.0; 3], "all over: the defaults");
+    assert_eq!(limits(10.0, &[5.0, 5.0], &[0.0, 0.0], 0.1), [5.0, 5.0], "shares of an empty total");
+    assert!(limits(10.0, &[], &[], 0.1).is_empty());
+    let unequal = limits(100.0, &[500.0, 5.0], &[3.0, 1.0], 0.1);
+    assert_eq!(unequal, [95.0, 5.0], "stated shares set the defaults; what is unused is lent");
+}
+
+#[test]
+fn limits_are_never_negative_and_never_exceed_the_capacity() {
+    let mut rng = Pcg64Mcg::seed_from_u64(11);
+    let mut draw = |most: f64| (rng.next_u32() as f64 / u32::MAX as f64) * most;
+    for _ in 0..20_000 {
+        let n = 1 + draw(9.0) as usize;
+        let capacity = draw(1000.0);
+        let demands: Vec<f64> = (0..n).map(|_| draw(2.0).floor() * draw(900.0)).collect();
+        let weights: Vec<f64> = (0..n).map(|_| draw(3.0).floor() * draw(1.0)).collect();
+        let got = limits(capacity, &demands, &weights, draw(1.0));
+        assert!(
+            got.iter().all(|&l| l >= 0.0 && l.is_finite()),
+            "{capacity} {demands:?} {weights:?}: {got:?}"
+        );
+        let sum: f64 = got.iter().sum();
+        assert!(sum <= capacity * (1.0 + 1e-9) + 1e-9, "{capacity} {demands:?} {weights:?}: {got:?}");
+    }
+}
