--- /dev/null
+++ b/node/src/discovery.rs
@@ -0,0 +1,220 @@
+//! The list of upstreams: its form, and the watch that keeps it fresh.
+//!
+//! When to ask is the module's choice ([`oakflow::Action::Subscribe`]); a watch that stands is kept up here.
+use crate::driver::Handle;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1;
+use hyper::{header, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use oakflow::{Availability, Member, UpstreamId};
+use oakflow_settings::Deployment;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+/// How long one call of a watch may wait for news.
+const WAIT: Duration = Duration::from_secs(20);
+/// Beyond its wait a call gets this long to answer, before it counts as failed.
+const ANSWER: Duration = Duration::from_secs(2);
+/// Pause before a pushed list is asked for again: the agent is on this machine and answers at no cost.
+const PUSHED_PAUSE: Duration = Duration::from_millis(500);
+/// Largest list accepted.
+const LIST_MOST: usize = 4 << 20;
+
+/// Names of zones and kinds, by the position that the module knows them by.
+pub struct Names {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+}
+
+impl Names {
+    /// The names that the settings list.
+    pub fn of(d: &Deployment) -> Names {
+        Names { zones: d.zones.clone(), kinds: d.kinds.clone() }
+    }
+}
+
+#[derive(Deserialize)]
+struct RawListing {
+    version: u64,
+    full: bool,
+    servers: Vec<RawEntry>,
+}
+
+#[derive(Deserialize)]
+struct RawEntry {
+    id: String,
+    addr: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    kind: String,
+    #[serde(default)]
+    cell: u16,
+    state: String,
+    #[serde(default)]
+    started_ms: f64,
+}
+
+/// One upstream of an answer: its line for the module and its address.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// What the module is told.
+    pub member: Member,
+    /// Where it listens, as this balancer sees it.
+    pub addr: SocketAddr,
+}
+
+/// An answer of discovery.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    /// Grows with each change.
+    pub version: u64,
+    /// Whether this is the whole list, or only what changed.
+    pub full: bool,
+    /// The upstreams.
+    pub entries: Vec<Entry>,
+}
+
+impl Listing {
+    /// Reads an answer. One bad entry spoils it whole, so that a garbled list never replaces a good one.
+    pub fn parse(json: &[u8], names: &Names) -> Result<Listing, String> {
+        let raw: RawListing = serde_json::from_slice(json).map_err(|e| e.to_string())?;
+        let entries = raw.servers.into_iter().map(|e| entry(e, names)).collect::<Result<_, _>>()?;
+        Ok(Listing { version: raw.version, full: raw.full, entries })
+    }
+
+    /// The lines for the module.
+    pub fn members(&self) -> impl Iterator<Item = Member> + '_ {
+        self.entries.iter().map(|e| e.member.clone())
+    }
+}
+
+fn entry(e: RawEntry, names: &Names) -> Result<Entry, String> {
+    let availability = match e.state.as_str() {
+        "active" => Availability::Ready,
+        "leaving" => Availability::Draining,
+        "left" => Availability::Gone,
+        other => return Err(format!("upstream {:?}: unknown state {other:?}", e.id)),
+    };
+    if e.id.is_empty() || !(0.0..1e15).contains(&e.started_ms) {
+        return Err(format!("upstream {:?}: started_ms reads {}", e.id, e.started_ms));
+    }
+    // A name that the settings do not list gets a position that no class is bound to.
+    let zone = names.zones.iter().position(|z| *z == e.zone).map_or(u16::MAX, |i| i as u16);
+    let kind = names.kinds.iter().position(|k| *k == e.kind).map_or(u8::MAX, |i| i as u8);
+    let (id, group, since) = (upstream_id(&e.id), e.cell, e.started_ms);
+    Ok(Entry { member: Member { id, zone, kind, group, availability, since }, addr: e.addr })
+}
+
+/// A stable id for an upstream's name, the same at every balancer (FNV-1a): the module spreads the balancers
+/// over the upstreams by a ring of these ids, so numbers given in order of arrival would crowd some of them.
+fn upstream_id(name: &str) -> UpstreamId {
+    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
+    UpstreamId(name.bytes().fold(0xcbf2_9ce4_8422_2325, step))
+}
+
+/// One connection to discovery; closed when dropped.
+struct Link {
+    sender: http1::SendRequest<Empty<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Link {
+    async fn open(addr: SocketAddr) -> Result<Link, String> {
+        let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
+        let (sender, conn) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+        let task = tokio::task::spawn_local(async move {
+            // How the connection ended shows in the call that was on it.
+            let _ = conn.await;
+        });
+        Ok(Link { sender, task: task.abort_handle() })
+    }
+}
+
+/// Keeps the list fresh: answers each of the module's subscriptions and keeps a watch that stands.
+pub struct Discovery {
+    addr: SocketAddr,
+    names: Names,
+    link: Option<Link>,
+    version: Option<u64>,
+}
+
+impl Discovery {
+    /// Begins with the version of the list that the balancer already has, if any.
+    pub fn new(addr: SocketAddr, names: Names, version: Option<u64>) -> Discovery {
+        Discovery { addr, names, link: None, version }
+    }
+
+    /// Serves subscriptions for ever. With `pushed` the list needs no asking and the watch always stands.
+    pub async fn run(mut self, driver: Handle, pushed: bool) {
+        loop {
+            if !pushed {
+                driver.subscribed().await;
+            }
+            let mut answered = false;
+            let error = loop {
+                match self.call().await {
+                    Ok(listing) => {
+                        // One event answers the subscription; after that only changes are news.
+                        if !answered || listing.full || !listing.entries.is_empty() {
+                            driver.listed(&listing);
+                        }
+                        answered = true;
+                    }
+                    Err(e) => break e,
+                }
+            };
+            self.link = None;
+            eprintln!("discovery: {error}");
+            driver.list_failed();
+            if pushed {
+                tokio::time::sleep(PUSHED_PAUSE).await;
+            }
+        }
+    }
+
+    /// One call. An answer that is malformed or older than what is known is an error and changes nothing.
+    async fn call(&mut self) -> Result<Listing, String> {
+        let patience = if self.version.is_some() { WAIT + ANSWER } else { ANSWER };
+        let listing =
+            timeout(patience, self.fetch()).await.map_err(|_| "no answer in time".to_string())??;
+        let stale = self.version.is_some_and(|v| listing.version < v);
+        if stale || (self.version.is_none() && !listing.full) {
+            let known = self.version.unwrap_or(0);
+            return Err(format!("version {} does not follow {known}", listing.version));
+        }
+        self.version = Some(listing.version);
+        Ok(listing)
+    }
+
+    async fn fetch(&mut self) -> Result<Listing, String> {
+        if self.link.as_ref().is_none_or(|l| l.sender.is_closed()) {
+            self.link = Some(Link::open(self.addr).await?);
+        }
+        let Some(link) = self.link.as_mut() else { return Err("not connected".into()) };
+        link.sender.ready().await.map_err(|e| e.to_string())?;
+        let path = match self.version {
+            Some(v) => format!("/api/targets?since={v}&timeout_ms={}", WAIT.as_millis()),
+            None => "/api/targets".to_string(),
+        };
+        let request = Request::get(path).header(header::HOST, self.addr.to_string()).body(Empty::new());
+        let request = request.map_err(|e| e.to_string())?;
+        let answer = link.sender.send_request(request).await.map_err(|e| e.to_string())?;
+        if answer.status() != StatusCode::OK {
+            return Err(format!("answered {}", answer.status()));
+        }
+        let body = Limited::new(answer.into_body(), LIST_MOST).collect().await.map_err(|e| e.to_string())?;
+        Listing::parse(&body.to_bytes(), &self.names)
+    }
+}
--- /dev/null
+++ b/node/src/driver.rs
@@ -0,0 +1,474 @@
+//! The one owner of the decision module: feeds it events in order, carries out its actions, keeps its clock,
+//! its timers and the ids of requests and attempts. Nothing is decided here.
+use crate::discovery::Listing;
+use crate::upstream::{Transport, Upstream};
+use bytes::Bytes;
+use hyper::header::HeaderMap;
+use hyper::{Method, Uri};
+use oakflow::{
+    Action, Availability, Balancer, Ending, Event, Membership, Millis, Request, RequestId, UpstreamId,
+};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{oneshot, Notify};
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// Time for the last answer to reach the client before it stops waiting.
+const ANSWER_MARGIN: Millis = 5.0;
+/// How often idle connections are looked through.
+const SWEEP: Duration = Duration::from_millis(250);
+/// Longest timer that the module may ask for.
+const TIMER_MOST: Millis = 71.0 * 60_000.0;
+
+/// A request as it goes on to upstreams.
+pub struct Outgoing {
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// The one final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// An upstream's answer.
+    Served {
+        /// Its end-to-end headers.
+        headers: HeaderMap,
+        /// Its whole body.
+        body: Bytes,
+    },
+    /// Refused: another try does no harm.
+    Refused {
+        /// How long the client should stay away; zero: no advice.
+        retry_after: Millis,
+    },
+    /// Failed, with no promise about its effect.
+    Failed,
+}
+
+struct Open {
+    /// Taken when the final answer is given or the client is gone.
+    reply: Option<oneshot::Sender<Answer>>,
+    out: Rc<Outgoing>,
+    deadline: Millis,
+    sends: u32,
+    running: u32,
+}
+
+struct Attempt {
+    upstream: UpstreamId,
+    sent: Instant,
+    task: AbortHandle,
+    due: (Instant, u64),
+}
+
+enum Due {
+    Module(u32),
+    Attempt(RequestId, u32),
+    Sweep,
+}
+
+struct Driver {
+    balancer: Balancer,
+    start: Instant,
+    start_ms: Millis,
+    transport: Transport,
+    drain_grace: Duration,
+    max_open: usize,
+    next_id: u32,
+    open: HashMap<RequestId, Open>,
+    attempts: HashMap<(RequestId, u32), Attempt>,
+    /// Every upstream that the module may name: those listed, and those with attempts out.
+    upstreams: HashMap<UpstreamId, (Rc<Upstream>, Availability, Millis)>,
+    timers: BTreeMap<(Instant, u64), Due>,
+    timer_seq: u64,
+    events: VecDeque<Event>,
+    listed: bool,
+}
+
+struct Shared {
+    driver: RefCell<Driver>,
+    timers: Notify,
+    subscribe: Notify,
+}
+
+/// The driver as everything else sees it.
+#[derive(Clone)]
+pub struct Handle(Rc<Shared>);
+
+/// Milliseconds since 1970, the module's clock, so that start times of upstreams need no conversion.
+pub fn unix_ms() -> Millis {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
+}
+
+/// What a driver is built from.
+pub struct Parts {
+    /// The module.
+    pub balancer: Balancer,
+    /// When the module's clock read `start_ms`.
+    pub start: Instant,
+    /// The clock at the start; it goes on by elapsed time alone, whatever is done to the system's clock.
+    pub start_ms: Millis,
+    /// Attempts and connections.
+    pub transport: Transport,
+    /// Within this time after the news sends to a draining upstream must end.
+    pub drain_grace: Duration,
+    /// Most requests open at once.
+    pub max_open: usize,
+}
+
+/// A request that waits for its final answer. Dropping it tells the module that the client is gone.
+pub struct Waiting {
+    handle: Handle,
+    id: RequestId,
+    answer: oneshot::Receiver<Answer>,
+    done: bool,
+}
+
+impl Waiting {
+    /// The final answer.
+    pub async fn answer(mut self) -> Answer {
+        let answer = (&mut self.answer).await.unwrap_or(Answer::Failed);
+        self.done = true;
+        answer
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if !self.done {
+            self.handle.client_gone(self.id);
+        }
+    }
+}
+
+impl Handle {
+    /// Sets the driver up; [`Handle::run`] must run for its timers to fire.
+    pub fn new(parts: Parts) -> Handle {
+        let Parts { balancer, start, start_ms, transport, drain_grace, max_open } = parts;
+        let driver = Driver {
+            balancer,
+            start,
+            start_ms,
+            transport,
+            drain_grace,
+            max_open,
+            next_id: 0,
+            open: HashMap::new(),
+            attempts: HashMap::new(),
+            upstreams: HashMap::new(),
+            timers: BTreeMap::new(),
+            timer_seq: 0,
+            events: VecDeque::new(),
+            listed: false,
+        };
+        let shared = Shared { driver: RefCell::new(driver), timers: Notify::new(), subscribe: Notify::new() };
+        Handle(Rc::new(shared))
+    }
+
+    /// Fires timers for ever.
+    pub async fn run(&self) {
+        self.0.driver.borrow_mut().set_timer(Instant::now() + SWEEP, Due::Sweep);
+        loop {
+            let next = self.0.driver.borrow().timers.first_key_value().map(|(&(at, _), _)| at);
+            match next {
+                Some(at) if at <= Instant::now() => self.fire(),
+                Some(at) => tokio::select! {
+                    () = tokio::time::sleep_until(at) => {}
+                    () = self.0.timers.notified() => {}
+                },
+                None => self.0.timers.notified().await,
+            }
+        }
+    }
+
+    fn fire(&self) {
+        let Some((_, due)) = self.0.driver.borrow_mut().timers.pop_first() else { return };
+        match due {
+            Due::Module(token) => self.feed(Event::Timer(token)),
+            Due::Attempt(id, number) => self.ended(id, number, Ending::Timeout, None),
+            Due::Sweep => {
+                let mut d = self.0.driver.borrow_mut();
+                let now = Instant::now();
+                for (upstream, ..) in d.upstreams.values() {
+                    upstream.sweep(now, d.transport.idle);
+                }
+                d.set_timer(now + SWEEP, Due::Sweep);
+            }
+        }
+    }
+
+    /// Whether upstreams are known, so that requests can be served.
+    pub fn ready(&self) -> bool {
+        self.0.driver.borrow().listed
+    }
+
+    /// Requests that have no final answer yet.
+    pub fn open(&self) -> usize {
+        self.0.driver.borrow().open.values().filter(|o| o.reply.is_some()).count()
+    }
+
+    /// Waits until the module subscribes to the list.
+    pub async fn subscribed(&self) {
+        self.0.subscribe.notified().await;
+    }
+
+    /// Takes the saved list.
+    pub fn cached(&self, listing: Option<&Listing>) {
+        let members = listing.iter().flat_map(|l| l.members()).collect();
+        if let Some(listing) = listing {
+            self.0.driver.borrow_mut().note_list(listing, true);
+        }
+        self.feed(Event::Membership(Membership::Cached(members)));
+    }
+
+    /// Takes an answer of discovery.
+    pub fn listed(&self, listing: &Listing) {
+        self.0.driver.borrow_mut().note_list(listing, listing.full);
+        let members = listing.members().collect();
+        let news = if listing.full { Membership::Full(members) } else { Membership::Delta(members) };
+        self.feed(Event::Membership(news));
+    }
+
+    /// A call for the list failed or the watch broke.
+    pub fn list_failed(&self) {
+        self.feed(Event::Membership(Membership::Failed));
+    }
+
+    /// Takes a request: from now on one final answer is owed. `None`: more are open than may be.
+    pub fn take(&self, class: usize, tenant: usize, patience: Millis, out: Outgoing) -> Option<Waiting> {
+        let (reply, answer) = oneshot::channel();
+        let (id, deadline) = {
+            let mut d = self.0.driver.borrow_mut();
+            if d.open.len() >= d.max_open {
+                return None;
+            }
+            while d.open.contains_key(&RequestId(d.next_id)) {
+                d.next_id = d.next_id.wrapping_add(1);
+            }
+            let id = RequestId(d.next_id);
+            d.next_id = d.next_id.wrapping_add(1);
+            let deadline = d.now() + (patience - ANSWER_MARGIN).max(0.0);
+            let open = Open { reply: Some(reply), out: Rc::new(out), deadline, sends: 0, running: 0 };
+            d.open.insert(id, open);
+            (id, deadline)
+        };
+        self.feed(Event::Request(Request { id, class, tenant, deadline }));
+        Some(Waiting { handle: self.clone(), id, answer, done: false })
+    }
+
+    fn client_gone(&self, id: RequestId) {
+        {
+            let mut d = self.0.driver.borrow_mut();
+            // Answered in the same instant: the module has ended it already.
+            if d.open.get_mut(&id).and_then(|o| o.reply.take()).is_none() {
+                return;
+            }
+            d.forget(id);
+        }
+        self.feed(Event::ClientGone(id));
+    }
+
+    /// Books the end of an attempt; the first end counts. What still runs for it is ended with its connection.
+    fn ended(&self, id: RequestId, number: u32, ending: Ending, answer: Option<Answer>) {
+        let event = {
+            let mut d = self.0.driver.borrow_mut();
+            let Some(attempt) = d.attempts.remove(&(id, number)) else { return };
+            attempt.task.abort();
+            d.timers.remove(&attempt.due);
+            let duration = attempt.sent.elapsed().as_secs_f64() * 1000.0;
+            d.forget_upstream(attempt.upstream);
+            let mut closed = true;
+            if let Some(open) = d.open.get_mut(&id) {
+                open.running -= 1;
+                if let Some(reply) = answer.and_then(|a| Some((open.reply.take()?, a))) {
+                    // A client that left in the same instant gets nothing; it is no longer owed anything.
+                    let _ = reply.0.send(reply.1);
+                }
+                closed = open.reply.is_none();
+            }
+            d.forget(id);
+            Event::Outcome { request: id, attempt: number, ending, duration, closed }
+        };
+        self.feed(event);
+    }
+
+    /// Hands the module an event and carries out what it wants, and so on for what follows at once from that.
+    fn feed(&self, event: Event) {
+        let mut d = self.0.driver.borrow_mut();
+        d.events.push_back(event);
+        let mut actions = Vec::new();
+        while let Some(event) = d.events.pop_front() {
+            let now = d.now();
+            d.balancer.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.perform(&mut d, action);
+            }
+        }
+    }
+
+    fn perform(&self, d: &mut Driver, action: Action) {
+        match action {
+            Action::Send { request, upstream, timeout } => self.send(d, request, upstream, timeout),
+            Action::Cancel { request, attempt } => {
+                if let Some(a) = d.attempts.remove(&(request, attempt)) {
+                    a.task.abort();
+                    d.timers.remove(&a.due);
+                    d.forget_upstream(a.upstream);
+                    let duration = a.sent.elapsed().as_secs_f64() * 1000.0;
+                    let mut closed = true;
+                    if let Some(open) = d.open.get_mut(&request) {
+                        open.running -= 1;
+                        closed = open.reply.is_none();
+                    }
+                    d.forget(request);
+                    d.events.push_back(Event::Outcome {
+                        request,
+                        attempt,
+                        ending: Ending::Cancelled,
+                        duration,
+                        closed,
+                    });
+                }
+            }
+            Action::Refuse { request, retry_after } => d.answer(request, Answer::Refused { retry_after }),
+            Action::Fail { request } => d.answer(request, Answer::Failed),
+            Action::CloseIdle(id) => {
+                if let Some((upstream, ..)) = d.upstreams.get(&id) {
+                    upstream.close_idle();
+                }
+            }
+            Action::Subscribe => self.0.subscribe.notify_one(),
+            Action::SetTimer { after, token } => {
+                let after = Duration::from_secs_f64(after.clamp(0.0, TIMER_MOST) / 1000.0);
+                d.set_timer(Instant::now() + after, Due::Module(token));
+                self.0.timers.notify_one();
+            }
+            Action::Log(line) => eprintln!("{line}"),
+        }
+    }
+
+    fn send(&self, d: &mut Driver, id: RequestId, to: UpstreamId, timeout: Millis) {
+        let (now, now_ms) = (Instant::now(), d.now());
+        let Some(open) = d.open.get_mut(&id) else { return };
+        let number = open.sends;
+        open.sends += 1;
+        let target = d.upstreams.get(&to).map(|(u, ..)| u.clone());
+        let (Some(target), true) = (target, open.reply.is_some()) else {
+            let closed = open.reply.is_none();
+            let ending = Ending::Moot;
+            d.events.push_back(Event::Outcome {
+                request: id,
+                attempt: number,
+                ending,
+                duration: 0.0,
+                closed,
+            });
+            return;
+        };
+        let left = (open.deadline - now_ms).max(0.0);
+        let wait = if timeout > 0.0 { timeout.min(left) } else { left };
+        let until = now + Duration::from_secs_f64(wait / 1000.0);
+        open.running += 1;
+        let out = open.out.clone();
+        let (transport, handle) = (d.transport.clone(), self.clone());
+        if transport.sockets.available_permits() == 0 {
+            d.free_socket();
+        }
+        let task = tokio::task::spawn_local(async move {
+            let (ending, answer) = transport.attempt(target, out, until).await;
+            handle.ended(id, number, ending, answer);
+        });
+        let due = d.set_timer(until, Due::Attempt(id, number));
+        let attempt = Attempt { upstream: to, sent: now, task: task.abort_handle(), due };
+        d.attempts.insert((id, number), attempt);
+        self.0.timers.notify_one();
+    }
+}
+
+impl Driver {
+    fn now(&self) -> Millis {
+        self.start_ms + self.start.elapsed().as_secs_f64() * 1000.0
+    }
+
+    fn set_timer(&mut self, at: Instant, due: Due) -> (Instant, u64) {
+        self.timer_seq += 1;
+        self.timers.insert((at, self.timer_seq), due);
+        (at, self.timer_seq)
+    }
+
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        if let Some(reply) = self.open.get_mut(&id).and_then(|o| o.reply.take()) {
+            // A client that left in the same instant gets nothing; it is no longer owed anything.
+            let _ = reply.send(answer);
+        }
+        self.forget(id);
+    }
+
+    /// Forgets a request that is answered and has nothing out.
+    fn forget(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|o| o.reply.is_none() && o.running == 0) {
+            self.open.remove(&id);
+        }
+    }
+
+    /// Forgets an upstream that is gone once nothing is out to it.
+    fn forget_upstream(&mut self, id: UpstreamId) {
+        let gone = self.upstreams.get(&id).is_some_and(|&(_, a, _)| a == Availability::Gone);
+        if gone && !self.attempts.values().any(|a| a.upstream == id) {
+            self.upstreams.remove(&id);
+        }
+    }
+
+    /// Closes the idle connection that rested longest, of all upstreams: its socket is needed elsewhere.
+    fn free_socket(&mut self) {
+        let oldest = self.upstreams.values().filter_map(|(u, ..)| Some((u.oldest_idle()?, u)));
+        if let Some((_, upstream)) = oldest.min_by_key(|&(since, _)| since) {
+            upstream.drop_oldest();
+        }
+    }
+
+    /// Keeps addresses and connections in step with the list.
+    fn note_list(&mut self, listing: &Listing, whole: bool) {
+        let closes = Instant::now() + self.drain_grace;
+        let close = |upstream: &Upstream| {
+            upstream.closes.set(Some(upstream.closes.get().unwrap_or(closes)));
+            upstream.close_idle();
+        };
+        self.listed |= !listing.entries.is_empty();
+        if whole {
+            for (id, (upstream, availability, _)) in &mut self.upstreams {
+                if !listing.entries.iter().any(|e| e.member.id == *id) {
+                    *availability = Availability::Gone;
+                    close(upstream);
+                }
+            }
+        }
+        for entry in &listing.entries {
+            let m = &entry.member;
+            let fresh = || (Upstream::new(entry.addr), m.availability, m.since);
+            let (upstream, availability, since) = self.upstreams.entry(m.id).or_insert_with(fresh);
+            // Another address or another start: the old connections lead nowhere.
+            if upstream.addr.replace(entry.addr) != entry.addr || *since != m.since {
+                upstream.close_idle();
+            }
+            (*availability, *since) = (m.availability, m.since);
+            match m.availability {
+                Availability::Ready => upstream.closes.set(None),
+                Availability::Draining | Availability::Gone => close(upstream),
+            }
+        }
+        let gone = self.upstreams.iter().filter(|(_, (_, a, _))| *a == Availability::Gone);
+        for id in gone.map(|(&id, _)| id).collect::<Vec<_>>() {
+            self.forget_upstream(id);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main.rs
@@ -0,0 +1,94 @@
+//! herondock: a load balancer on real sockets. Start-up, signals and wiring; see the README.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+mod config;
+mod discovery;
+mod driver;
+mod server;
+mod upstream;
+
+use config::Config;
+use discovery::{Discovery, Names};
+use driver::{Handle, Parts};
+use oakflow::Balancer;
+use server::{Phase, Server};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{watch, Semaphore};
+use tokio::time::Instant;
+
+/// New connections go on coming for this long after SIGTERM, with some room.
+const STILL_ACCEPTING: Duration = Duration::from_millis(500);
+/// Longest wait, after that, for what was taken: SIGKILL comes at 3.7 s at the soonest.
+const FINISHING: Duration = Duration::from_millis(3000);
+/// Descriptors for everything but connections of callers and upstreams: the listener, discovery, the runtime.
+const SOCKETS_SPARE: usize = 24;
+
+fn load() -> Result<Config, String> {
+    let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
+    let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+    Config::parse(&text)
+}
+
+fn main() -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let done = load().and_then(|config| {
+        let runtime = runtime.map_err(|e| e.to_string())?;
+        tokio::task::LocalSet::new().block_on(&runtime, run(config))
+    });
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("herondock: {}", message.replace('\n', " "));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(config: Config) -> Result<(), String> {
+    let (start, start_ms) = (Instant::now(), driver::unix_ms());
+    let Config { name, listen, discovery, seed, sockets, known, deployment } = config;
+    let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    let balancer = Balancer::new(deployment.policy.clone(), seed, start_ms).map_err(|e| e.to_string())?;
+    let span = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
+    // One budget: callers may hold half of it, so that there is always a way on to the upstreams.
+    let budget = sockets - SOCKETS_SPARE;
+    let callers = Arc::new(Semaphore::new(budget / 2));
+    let upstreams = Arc::new(Semaphore::new(budget - budget / 2));
+    let transport = upstream::Transport::new(
+        span(deployment.dial_timeout),
+        span(deployment.policy.idle_close.min(86_400_000.0)),
+        upstreams,
+    );
+    let handle = Handle::new(Parts {
+        balancer,
+        start,
+        start_ms,
+        transport,
+        drain_grace: span(deployment.drain_grace),
+        max_open: usize::try_from(deployment.max_open).unwrap_or(usize::MAX),
+    });
+    let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
+    let timers = handle.clone();
+    tokio::task::spawn_local(async move { timers.run().await });
+    handle.cached(known.as_ref());
+    let watcher = Discovery::new(discovery, Names::of(&deployment), known.as_ref().map(|k| k.version));
+    tokio::task::spawn_local(watcher.run(handle.clone(), !deployment.policy.ask_for_list));
+    let (phase, phases) = watch::channel(Phase::Up);
+    let served =
+        tokio::task::spawn_local(Server::new(handle.clone(), deployment, phases).run(listener, callers));
+    eprintln!("{name}: serving on {listen}");
+
+    term.recv().await;
+    eprintln!("{name}: told to end");
+    phase.send_replace(Phase::Leaving);
+    tokio::time::sleep(STILL_ACCEPTING).await;
+    phase.send_replace(Phase::Closing);
+    if tokio::time::timeout(FINISHING, served).await.is_err() {
+        eprintln!("{name}: {} requests unanswered at the end", handle.open());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/node/src/upstream.rs
@@ -0,0 +1,238 @@
+//! Attempts: one request to one upstream, once; and the connections that are kept for the next.
+use crate::driver::{Answer, Outgoing};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use oakflow::Ending;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::AbortHandle;
+use tokio::time::{timeout, timeout_at, Instant};
+
+/// Bodies hold at most this much, both ways.
+pub const BODY_MOST: usize = 64 << 10;
+/// How long the time-out of an idle connection is undercut: what is sent on one that the upstream is about to
+/// close ends as a reset, and the upstream counts from its last byte, not from when we read it.
+const IDLE_MARGIN: Duration = Duration::from_millis(250);
+/// How long a connection may take to be ready for its next request once an answer has been read whole.
+const SETTLE: Duration = Duration::from_millis(5);
+
+/// Tells how long an attempt will be waited for.
+pub const DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
+const DECLINED: HeaderName = HeaderName::from_static("srv-declined");
+
+/// Headers that belong to one connection and are not passed on.
+const HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Takes out the headers that belong to one connection; the length of a body is framed anew.
+pub fn end_to_end(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|v| v.trim().parse().ok())
+        .collect();
+    for name in HOP.iter().chain(&named).chain(&[header::CONTENT_LENGTH, header::EXPECT]) {
+        headers.remove(name);
+    }
+}
+
+/// One open connection; closed when dropped.
+struct Conn {
+    sender: http1::SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct Idle {
+    conn: Conn,
+    since: Instant,
+}
+
+/// One upstream: where it is, and the connections to it that carry nothing now.
+pub struct Upstream {
+    /// Where it listens.
+    pub addr: Cell<SocketAddr>,
+    /// After this nothing may be written to it: it drains or is gone, and the grace is over.
+    pub closes: Cell<Option<Instant>>,
+    idle: RefCell<Vec<Idle>>,
+}
+
+impl Upstream {
+    /// An upstream that nothing is connected to yet.
+    pub fn new(addr: SocketAddr) -> Rc<Upstream> {
+        Rc::new(Upstream { addr: Cell::new(addr), closes: Cell::new(None), idle: RefCell::default() })
+    }
+
+    /// Closes the connections that carry no call now.
+    pub fn close_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Closes the connections that have been idle for longer than `most`, and those the other side closed.
+    pub fn sweep(&self, now: Instant, most: Duration) {
+        self.idle.borrow_mut().retain(|i| !i.conn.sender.is_closed() && now - i.since < most);
+    }
+
+    /// Since when the connection that rested longest is idle.
+    pub fn oldest_idle(&self) -> Option<Instant> {
+        self.idle.borrow().first().map(|i| i.since)
+    }
+
+    /// Closes the connection that rested longest.
+    pub fn drop_oldest(&self) {
+        let mut idle = self.idle.borrow_mut();
+        if !idle.is_empty() {
+            idle.remove(0);
+        }
+    }
+
+    /// The connection used last: the others then go idle and close, instead of all being kept warm by turns.
+    fn take(&self, most: Duration) -> Option<Conn> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        while let Some(i) = idle.pop() {
+            if i.conn.sender.is_ready() && now - i.since < most {
+                return Some(i.conn);
+            }
+        }
+        None
+    }
+
+    fn closed(&self, now: Instant) -> bool {
+        self.closes.get().is_some_and(|at| now >= at)
+    }
+}
+
+/// What all attempts share.
+#[derive(Clone)]
+pub struct Transport {
+    /// A connection that is not up after this long counts as refused.
+    pub dial_timeout: Duration,
+    /// Connections are closed when idle for this long.
+    pub idle: Duration,
+    /// Sockets that may still be opened.
+    pub sockets: std::sync::Arc<Semaphore>,
+}
+
+impl Transport {
+    /// `idle_close` is when upstreams close idle connections.
+    pub fn new(dial_timeout: Duration, idle_close: Duration, sockets: std::sync::Arc<Semaphore>) -> Self {
+        let idle = idle_close.saturating_sub(IDLE_MARGIN).max(idle_close / 2);
+        Transport { dial_timeout, idle, sockets }
+    }
+
+    async fn dial(&self, addr: SocketAddr, until: Instant) -> Option<Conn> {
+        let permit = self.sockets.clone().try_acquire_owned().ok()?;
+        let until = until.min(Instant::now() + self.dial_timeout);
+        let stream = timeout_at(until, TcpStream::connect(addr)).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, conn) =
+            http1::Builder::new().max_buf_size(BODY_MOST).handshake(TokioIo::new(stream)).await.ok()?;
+        let task = tokio::task::spawn_local(async move {
+            // How the connection ended shows in the attempt that was on it.
+            let _ = conn.await;
+        });
+        Some(Conn { sender, task: task.abort_handle(), _permit: permit })
+    }
+
+    /// Carries one attempt out: its request is written once at most. Dropping the future closes the connection.
+    pub async fn attempt(
+        &self,
+        to: Rc<Upstream>,
+        out: Rc<Outgoing>,
+        until: Instant,
+    ) -> (Ending, Option<Answer>) {
+        let mut request = match out.request() {
+            Ok(request) => request,
+            Err(_) => return (Ending::Moot, None),
+        };
+        let (mut conn, answer) = loop {
+            let (mut conn, reused) = match to.take(self.idle) {
+                Some(conn) => (conn, true),
+                None => match self.dial(to.addr.get(), until).await {
+                    Some(conn) => (conn, false),
+                    None => return (Ending::ConnectFailed, None),
+                },
+            };
+            let now = Instant::now();
+            // Guards the drain rule: dialling may outlast the grace, and what was decided before is written now.
+            if to.closed(now) || now >= until {
+                return (Ending::Moot, None);
+            }
+            let left = (until - now).as_micros();
+            if let Ok(left) = HeaderValue::try_from(format!("{left}u")) {
+                request.headers_mut().insert(DEADLINE, left);
+            }
+            match conn.sender.try_send_request(request).await {
+                Ok(answer) => break (conn, answer),
+                // Handed back whole: nothing was written. A connection that rested and had been closed meanwhile
+                // says nothing about the upstream, so the next one is tried; each is tried once.
+                Err(mut e) => match e.take_message() {
+                    Some(back) if reused => request = back,
+                    Some(_) => return (Ending::ConnectFailed, None),
+                    None => return (Ending::Reset, None),
+                },
+            }
+        };
+        let ending = ending(&answer);
+        let (head, body) = answer.into_parts();
+        let Ok(body) = Limited::new(body, BODY_MOST).collect().await else { return (Ending::Reset, None) };
+        // Back before the outcome is told: what the module sends next may go on this connection.
+        if let Ok(Ok(())) = timeout(SETTLE, conn.sender.ready()).await {
+            if !to.closed(Instant::now()) {
+                to.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
+            }
+        }
+        let answer = (ending == Ending::Ok).then(|| {
+            let mut headers = head.headers;
+            end_to_end(&mut headers);
+            Answer::Served { headers, body: body.to_bytes() }
+        });
+        (ending, answer)
+    }
+}
+
+/// What an answer says. Only a mark that the request was turned away proves that it never ran.
+fn ending<B>(answer: &Response<B>) -> Ending {
+    let declined = answer.headers().get(DECLINED).is_some_and(|v| v == "1");
+    match answer.status() {
+        StatusCode::OK => Ending::Ok,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => Ending::Full,
+        _ => Ending::Error,
+    }
+}
+
+impl Outgoing {
+    fn request(&self) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(self.target.clone())
+            .body(Full::new(self.body.clone()))?;
+        *request.headers_mut() = self.headers.clone();
+        Ok(request)
+    }
+}
--- a/simhost/src/settings.rs
+++ b/settings/src/lib.rs
@@ -5,12 +5,36 @@
 //! `over_share_worth`; of `classes[]` `aim_stretch`, `importance` and `streaming`; of `charges` all but crossings;
 //! of `invariants` `drain_grace`, `fall` and `grace_to_answer` (the module stops, spreads and answers well within
 //! them); of `permissions` those to probe, to tell peers and to send second copies, and the limits of CPU, open
-//! requests, connections and dialling. Of the events the codec drops probe results, peer messages and load
+//! requests, connections and dialling; [`Deployment`] keeps what of these a balancer on sockets needs. Of the events the codec drops probe results, peer messages and load
 //! reports; of a request its key, its cost hint and its marks; of a list entry its scale. Never asked for: single
 //! fetches of the list, and unsubscribing.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 use oakflow::{Class, DedupScope, Effect, Settings, Tenant};
 use serde::Deserialize;
 
+/// The settings with what the module has no use for but sockets do. Names stand at the position that the
+/// module knows them by; a list that was not given is empty.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Deployment {
+    /// What the decision module is told.
+    pub policy: Settings,
+    /// Names of the classes.
+    pub classes: Vec<String>,
+    /// Names of the tenants.
+    pub tenants: Vec<String>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// Names of the machine kinds.
+    pub kinds: Vec<String>,
+    /// A connection that is not up within this time, in milliseconds, counts as refused.
+    pub dial_timeout: f64,
+    /// Time, in milliseconds, within which sends to a draining upstream must end.
+    pub drain_grace: f64,
+    /// Most requests that an instance may have open.
+    pub max_open: u64,
+}
+
 #[derive(Deserialize)]
 struct Setup {
     balancers: u32,
@@ -27,10 +51,16 @@
     zone: u16,
     #[serde(default)]
     charges: Charges,
+    #[serde(default)]
+    dcs: Vec<String>,
+    #[serde(default)]
+    kinds: Vec<String>,
 }
 
 #[derive(Deserialize)]
 struct ClassSetup {
+    #[serde(default)]
+    name: String,
     objective: f64,
     deadline: f64,
     effect: String,
@@ -46,6 +76,8 @@
 
 #[derive(Deserialize)]
 struct TenantSetup {
+    #[serde(default)]
+    name: String,
     share: f64,
     #[serde(default)]
     quota_per_s: f64,
@@ -62,6 +94,10 @@
     max_retry_after: f64,
     #[serde(default = "idle")]
     idle_close: f64,
+    #[serde(default = "dial")]
+    dial_timeout: f64,
+    #[serde(default = "open")]
+    max_open: u64,
 }
 
 #[derive(Deserialize)]
@@ -73,6 +109,8 @@
     ask_within: f64,
     #[serde(default)]
     late_shedding: bool,
+    #[serde(default = "grace")]
+    drain_grace: f64,
 }
 
 #[derive(Deserialize, Default)]
@@ -90,9 +128,23 @@
 fn ask() -> f64 {
     Settings::default().ask_within
 }
+fn dial() -> f64 {
+    250.0
+}
+fn grace() -> f64 {
+    1000.0
+}
+fn open() -> u64 {
+    20_000
+}
 
-/// Reads settings; the message names the key at fault.
+/// Reads what the decision module is told; the message names the key at fault.
 pub fn parse(json: &[u8]) -> Result<Settings, String> {
+    deployment(json).map(|d| d.policy)
+}
+
+/// Reads settings; the message names the key at fault.
+pub fn deployment(json: &[u8]) -> Result<Deployment, String> {
     let mut json = serde_json::Deserializer::from_slice(json);
     // The path names the key of a value of the wrong type; the message alone does not.
     let s: Setup = serde_path_to_error::deserialize(&mut json).map_err(|e| match e.path().to_string() {
@@ -125,7 +177,24 @@
         cross_zone_price: s.charges.cross_zone,
     };
     settings.validate().map_err(|e| e.to_string())?;
-    Ok(settings)
+    for (key, span) in [
+        ("permissions.dial_timeout", s.permissions.dial_timeout),
+        ("invariants.drain_grace", s.invariants.drain_grace),
+    ] {
+        if !(0.0..=1e9).contains(&span) {
+            return Err(format!("{key}: must be a time of at least 0"));
+        }
+    }
+    Ok(Deployment {
+        policy: settings,
+        classes: s.classes.into_iter().map(|c| c.name).collect(),
+        tenants: s.tenants.into_iter().map(|t| t.name).collect(),
+        zones: s.dcs,
+        kinds: s.kinds,
+        dial_timeout: s.permissions.dial_timeout,
+        drain_grace: s.invariants.drain_grace,
+        max_open: s.permissions.max_open,
+    })
 }
 
 fn class(c: &ClassSetup) -> Result<Class, String> {
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -1,6 +1,5 @@
 //! Hosts oakflow balancers on the simulator's wire: frames in on standard input, replies out.
 #![forbid(unsafe_code)]
-mod settings;
 mod wire;
 
 use oakflow::{Action, Balancer, Event};
@@ -39,7 +38,7 @@
             }
             Record::Configure { seed, setup } => {
                 let id = instance()?;
-                let settings = settings::parse(&batch.tail[setup.clone()])
+                let settings = oakflow_settings::parse(&batch.tail[setup.clone()])
                     .map_err(|e| format!("settings of instance {id}: {e}"))?;
                 let balancer = Balancer::new(settings, *seed, now).map_err(|e| e.to_string())?;
                 self.balancers.insert(id, balancer);
