Loopback tests for the ways to fail; idle callers make way for new ones

By a test of 100 kept connections at 64 descriptors: callers that keep connections shut all others out until their own time ran out (Server::run waited for a permit). The connection that rested longest is now closed. A first test of connections closed at rest failed beside others: the close had not reached the balancer yet when the next request did, so the test now waits until the descriptor is gone.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -20,6 +20,8 @@
 const WAIT: Duration = Duration::from_secs(20);
 /// Beyond its wait a call gets this long to answer, before it counts as failed.
 const ANSWER: Duration = Duration::from_secs(2);
+/// A call for the whole list, which does not wait for news, gets this long: discovery works in turn.
+const WHOLE: Duration = Duration::from_secs(6);
 /// Pause before a pushed list is asked for again: the agent is on this machine and answers at no cost.
 const PUSHED_PAUSE: Duration = Duration::from_millis(500);
 /// Largest list accepted.
@@ -186,7 +188,7 @@
 
     /// One call. An answer that is malformed or older than what is known is an error and changes nothing.
     async fn call(&mut self) -> Result<Listing, String> {
-        let patience = if self.version.is_some() { WAIT + ANSWER } else { ANSWER };
+        let patience = if self.version.is_some() { WAIT + ANSWER } else { WHOLE };
         let listing =
             timeout(patience, self.fetch()).await.map_err(|_| "no answer in time".to_string())??;
         let stale = self.version.is_some_and(|v| listing.version < v);
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -380,7 +380,7 @@
         open.running += 1;
         let out = open.out.clone();
         let (transport, handle) = (d.transport.clone(), self.clone());
-        if transport.sockets.available_permits() == 0 {
+        if target.oldest_idle().is_none() && transport.sockets.available_permits() == 0 {
             d.free_socket();
         }
         let task = tokio::task::spawn_local(async move {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -72,17 +72,22 @@
         max_open: usize::try_from(deployment.max_open).unwrap_or(usize::MAX),
     });
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
+    let address = listener.local_addr().map_err(|e| format!("listen: {listen}: {e}"))?;
     let timers = handle.clone();
-    tokio::task::spawn_local(async move { timers.run().await });
+    let timers = tokio::task::spawn_local(async move { timers.run().await });
     handle.cached(known.as_ref());
     let watcher = Discovery::new(discovery, Names::of(&deployment), known.as_ref().map(|k| k.version));
     tokio::task::spawn_local(watcher.run(handle.clone(), !deployment.policy.ask_for_list));
     let (phase, phases) = watch::channel(Phase::Up);
     let served =
         tokio::task::spawn_local(Server::new(handle.clone(), deployment, phases).run(listener, callers));
-    eprintln!("{name}: serving on {listen}");
+    eprintln!("{name}: serving on {address}");
 
-    term.recv().await;
+    tokio::select! {
+        _ = term.recv() => {}
+        // Without timers no request would end: better to stop at once, seen by all.
+        end = timers => return Err(format!("the timers stopped: {end:?}")),
+    }
     eprintln!("{name}: told to end");
     phase.send_replace(Phase::Leaving);
     tokio::time::sleep(STILL_ACCEPTING).await;
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -11,12 +11,14 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use oakflow::{Effect, Millis};
 use oakflow_settings::Deployment;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
 /// A caller has this long for the head of a request, and for the next one on a kept connection.
@@ -25,6 +27,8 @@
 const BODY_WAIT: Duration = Duration::from_secs(10);
 /// Pause after an accept that failed, for want of descriptors for one.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// While all callers' connections are busy, the next look for one that may be closed comes after this.
+const CROWDED_PAUSE: Duration = Duration::from_millis(10);
 /// Longest request id taken.
 const ID_MOST: usize = 256;
 const READY: &str = "/-/ready";
@@ -46,12 +50,39 @@
     driver: Handle,
     deployment: Deployment,
     phase: watch::Receiver<Phase>,
+    /// Connections between requests, the one that rested longest first, and how to close them.
+    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    /// Orders the connections by when they last fell idle.
+    turn: Cell<u64>,
 }
 
 impl Server {
     /// Serves callers through `driver`.
     pub fn new(driver: Handle, deployment: Deployment, phase: watch::Receiver<Phase>) -> Rc<Server> {
-        Rc::new(Server { driver, deployment, phase })
+        Rc::new(Server { driver, deployment, phase, idle: RefCell::default(), turn: Cell::new(0) })
+    }
+
+    /// Notes that a connection is between requests. Its place is to be taken out when that ends.
+    fn rests(&self, close: &Rc<Notify>) -> u64 {
+        self.turn.set(self.turn.get() + 1);
+        self.idle.borrow_mut().insert(self.turn.get(), close.clone());
+        self.turn.get()
+    }
+
+    /// Room for one more caller. Guards against idle connections that callers keep shutting others out: what is
+    /// written to a connection that waits to be accepted counts as taken, so one between requests makes way.
+    async fn room(&self, callers: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
+        loop {
+            if let Ok(permit) = callers.clone().try_acquire_owned() {
+                return Some(permit);
+            }
+            if let Some((_, close)) = self.idle.borrow_mut().pop_first() {
+                close.notify_one();
+            }
+            if let Ok(permit) = timeout(CROWDED_PAUSE, callers.clone().acquire_owned()).await {
+                return permit.ok();
+            }
+        }
     }
 
     /// Accepts callers until the program closes. Returns once every connection has ended.
@@ -59,25 +90,22 @@
         let most = callers.available_permits() as u32;
         let mut phase = self.phase.clone();
         loop {
-            let next = async {
-                let permit = callers.clone().acquire_owned().await.ok()?;
-                Some((permit, listener.accept().await))
-            };
             let accepted = tokio::select! {
                 biased;
-                accepted = next => accepted,
-                _ = phase.wait_for(|p| *p == Phase::Closing) => None,
+                accepted = listener.accept() => accepted,
+                // Only once nobody waits to be accepted: what they have written counts as taken.
+                _ = phase.wait_for(|p| *p == Phase::Closing) => break,
             };
             match accepted {
-                Some((permit, Ok((stream, _)))) => {
+                Ok((stream, _)) => {
+                    let Some(permit) = self.room(&callers).await else { break };
                     tokio::task::spawn_local(self.clone().connection(stream, permit));
                 }
                 // Out of descriptors, or a caller that left at once: no reason to end, nor to spin.
-                Some((_, Err(e))) => {
+                Err(e) => {
                     eprintln!("accept: {e}");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
-                None => break,
             }
         }
         drop(listener);
@@ -90,10 +118,17 @@
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let server = self.clone();
+        let close = Rc::new(Notify::new());
+        let place = Rc::new(Cell::new(self.rests(&close)));
+        let (server, again, at) = (self.clone(), close.clone(), place.clone());
         let service = service_fn(move |request| {
-            let server = server.clone();
-            async move { Ok::<_, Infallible>(server.respond(request).await) }
+            let (server, close, place) = (server.clone(), again.clone(), at.clone());
+            async move {
+                server.idle.borrow_mut().remove(&place.get());
+                let response = server.respond(request).await;
+                place.set(server.rests(&close));
+                Ok::<_, Infallible>(response)
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -102,13 +137,17 @@
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let mut phase = self.phase.clone();
-        tokio::select! {
+        let ended = tokio::select! {
             // A caller's broken connection or garbage ends this connection only.
-            _ = connection.as_mut() => return,
-            _ = phase.wait_for(|p| *p == Phase::Closing) => {}
+            _ = connection.as_mut() => true,
+            () = close.notified() => false,
+            _ = phase.wait_for(|p| *p == Phase::Closing) => false,
+        };
+        if !ended {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
         }
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+        self.idle.borrow_mut().remove(&place.get());
     }
 
     async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
--- /dev/null
+++ b/node/tests/common/mod.rs
@@ -0,0 +1,339 @@
+//! A balancer under test between small fakes: callers, upstreams and discovery, on ephemeral loopback ports.
+//! Everything waits for what it needs to have happened; [`PATIENCE`] only ends a test that has failed.
+#![allow(dead_code)]
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A request or an answer as it came over a socket.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub start: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status line")
+    }
+}
+
+/// Reads one message; `None` when the connection ended before its first byte.
+pub fn read(stream: &mut BufReader<TcpStream>) -> Option<Message> {
+    let mut start = String::new();
+    if stream.read_line(&mut start).unwrap_or(0) == 0 {
+        return None;
+    }
+    let mut message = Message { start: start.trim_end().into(), headers: Vec::new(), body: Vec::new() };
+    loop {
+        let mut line = String::new();
+        if stream.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        match line.trim_end().split_once(':') {
+            Some((name, value)) => message.headers.push((name.into(), value.trim().into())),
+            None => break,
+        }
+    }
+    let length = message.header("content-length").map_or(0, |l| l.parse().expect("a length"));
+    message.body.resize(length, 0);
+    stream.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+fn open(addr: SocketAddr) -> BufReader<TcpStream> {
+    let stream = TcpStream::connect(addr).expect("connects");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    BufReader::new(stream)
+}
+
+/// What a fake upstream does with a request.
+pub enum Then {
+    /// Writes this and keeps the connection.
+    Answer(String),
+    /// Writes this and closes the connection.
+    AnswerAndClose(String),
+    /// Closes the connection without an answer.
+    Hang,
+    /// Says nothing until the other side closes.
+    Wait,
+    /// Waits for a word on the channel, then answers.
+    Hold(Receiver<()>, String),
+}
+
+pub fn ok(body: &str) -> Then {
+    Then::Answer(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+}
+
+pub fn status(line: &str) -> Then {
+    Then::Answer(format!("HTTP/1.1 {line}\r\nContent-Length: 0\r\n\r\n"))
+}
+
+/// What a fake upstream saw.
+#[derive(Debug)]
+pub enum Seen {
+    Request(Message),
+    /// A connection has been closed, by either side.
+    Closed,
+}
+
+pub struct Upstream {
+    pub addr: SocketAddr,
+    pub seen: Receiver<Seen>,
+    pub connections: Arc<AtomicUsize>,
+}
+
+impl Upstream {
+    pub fn start(behave: impl Fn(&Message) -> Then + Send + Sync + 'static) -> Upstream {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let addr = listener.local_addr().expect("an address");
+        let (tell, seen) = channel();
+        let connections = Arc::new(AtomicUsize::new(0));
+        let (behave, count) = (Arc::new(behave), connections.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                count.fetch_add(1, Ordering::SeqCst);
+                let (behave, tell) = (behave.clone(), tell.clone());
+                thread::spawn(move || serve(stream, &*behave, &tell));
+            }
+        });
+        Upstream { addr, seen, connections }
+    }
+
+    /// The next request.
+    pub fn request(&self) -> Message {
+        loop {
+            match self.seen.recv_timeout(PATIENCE).expect("a request at the upstream") {
+                Seen::Request(m) => return m,
+                Seen::Closed => {}
+            }
+        }
+    }
+
+    /// Waits until a connection has been closed.
+    pub fn closed(&self) {
+        while !matches!(self.seen.recv_timeout(PATIENCE).expect("a closed connection"), Seen::Closed) {}
+    }
+
+    /// How many further requests have come.
+    pub fn further(&self) -> usize {
+        self.seen.try_iter().filter(|s| matches!(s, Seen::Request(_))).count()
+    }
+}
+
+fn serve(stream: TcpStream, behave: &dyn Fn(&Message) -> Then, tell: &Sender<Seen>) {
+    let mut stream = BufReader::new(stream);
+    while let Some(request) = read(&mut stream) {
+        let then = behave(&request);
+        let _ = tell.send(Seen::Request(request));
+        match then {
+            Then::Answer(text) => {
+                let _ = stream.get_mut().write_all(text.as_bytes());
+            }
+            Then::AnswerAndClose(text) => {
+                let _ = stream.get_mut().write_all(text.as_bytes());
+                break;
+            }
+            Then::Hang => break,
+            Then::Wait => {}
+            Then::Hold(word, text) => {
+                let _ = word.recv_timeout(PATIENCE);
+                let _ = stream.get_mut().write_all(text.as_bytes());
+            }
+        }
+    }
+    drop(stream);
+    let _ = tell.send(Seen::Closed);
+}
+
+/// An address that refuses connections.
+pub fn refusing() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("an address")
+}
+
+/// Discovery that gives one prepared answer for each call, in order, and is silent without one.
+pub struct Discovery {
+    pub addr: SocketAddr,
+    pub calls: Receiver<Message>,
+    answers: Sender<String>,
+}
+
+impl Discovery {
+    pub fn start() -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let addr = listener.local_addr().expect("an address");
+        let (answers, prepared) = channel::<String>();
+        let (tell, calls) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let mut stream = BufReader::new(stream);
+                while let Some(call) = read(&mut stream) {
+                    let _ = tell.send(call);
+                    let Ok(answer) = prepared.recv() else { return };
+                    let _ = stream.get_mut().write_all(answer.as_bytes());
+                }
+            }
+        });
+        Discovery { addr, calls, answers }
+    }
+
+    pub fn answer(&self, body: &str) {
+        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        self.answers.send(text).expect("discovery runs");
+    }
+
+    pub fn fail(&self) {
+        let text = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+        self.answers.send(text.into()).expect("discovery runs");
+    }
+
+    /// The next call's path.
+    pub fn called(&self) -> String {
+        let call = self.calls.recv_timeout(PATIENCE).expect("a call");
+        call.start.split(' ').nth(1).expect("a path").into()
+    }
+}
+
+/// A list in discovery's form: upstream `n` has id `s-n`.
+pub fn listing(version: u64, full: bool, servers: &[(usize, SocketAddr, &str)]) -> String {
+    let line = |&(n, addr, state): &(usize, SocketAddr, &str)| {
+        format!(
+            r#"{{"id":"s-{n}","addr":"{addr}","zone":"a","kind":"m","cell":1,"state":"{state}","weight":1.0,
+                "started_ms":0}}"#
+        )
+    };
+    let servers: Vec<String> = servers.iter().map(line).collect();
+    format!(r#"{{"version":{version},"full":{full},"servers":[{}]}}"#, servers.join(","))
+}
+
+pub fn config(discovery: SocketAddr, sockets: usize, known: &str) -> String {
+    format!(
+        r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},
+        "settings":{{"balancers":1,"index":0,"membership_mode":"on_request","dcs":["a"],"kinds":["m"],
+          "classes":[
+            {{"name":"read","objective":1000,"deadline":20000,"effect":"free","late_worth":0.5}},
+            {{"name":"order","objective":1000,"deadline":20000,"effect":"guarded","dedup_scope":"all",
+              "repeat_window":20000,"late_worth":0.5}},
+            {{"name":"pay","objective":1000,"deadline":20000,"effect":"single_shot","late_worth":0.5}}],
+          "tenants":[{{"name":"club","share":1.0,"quota_per_s":5000}}],
+          "permissions":{{"attempts_cap":5,"cancel":true,"retry_after":true,"max_retry_after":2000,
+            "idle_close":60000}},
+          "invariants":{{"cold_from":0.3,"ramp_time":9000,"tip_multiple":4,"drain_grace":1000}}}}}}"#
+    )
+}
+
+/// A running balancer; killed when dropped.
+pub struct Node {
+    child: Child,
+    pub addr: SocketAddr,
+    /// Kept, so that it is silent and not gone.
+    pub discovery: Discovery,
+}
+
+pub fn command(config: &str) -> Command {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let name = format!("node-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, config).expect("writes the configuration");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_herondock"));
+    command.env("NODE_CONFIG", path).stdout(Stdio::null()).stderr(Stdio::piped());
+    command
+}
+
+impl Node {
+    /// A balancer that starts with this list.
+    pub fn start(sockets: usize, known: &str) -> Node {
+        let discovery = Discovery::start();
+        let config = &config(discovery.addr, sockets, known);
+        let mut child = command(config).spawn().expect("starts");
+        let mut log = BufReader::new(child.stderr.take().expect("its log"));
+        let addr = loop {
+            let mut line = String::new();
+            assert_ne!(log.read_line(&mut line).expect("a log line"), 0, "it ended at once");
+            if let Some((_, addr)) = line.trim_end().split_once("serving on ") {
+                break addr.parse().expect("an address");
+            }
+        };
+        thread::spawn(move || for _ in log.lines() {});
+        Node { child, addr, discovery }
+    }
+
+    /// A balancer that knows these upstreams, and whose discovery is silent.
+    pub fn with(upstreams: &[SocketAddr]) -> Node {
+        let servers: Vec<_> = upstreams.iter().enumerate().map(|(n, &a)| (n, a, "active")).collect();
+        Node::start(1024, &listing(1, true, &servers))
+    }
+
+    /// How many descriptors it holds.
+    pub fn descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(path).expect("its descriptors").count()
+    }
+
+    pub fn terminate(&self) {
+        let kill = format!("kill -TERM {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("runs sh").success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("it ends")
+    }
+
+    pub fn client(&self) -> Client {
+        Client(open(self.addr))
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub fn send(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).expect("writes");
+    }
+
+    /// The next answer; `None` when the connection ended.
+    pub fn answer(&mut self) -> Option<Message> {
+        read(&mut self.0)
+    }
+
+    pub fn call(&mut self, text: &str) -> Message {
+        self.send(text);
+        self.answer().expect("an answer")
+    }
+}
+
+/// A request that may be repeated.
+pub fn get(id: &str, deadline: &str) -> String {
+    format!(
+        "GET /api/x?y=1 HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {id}\r\nReq-Kind: read\r\n\
+         Req-Owner: club\r\nReq-Deadline: {deadline}\r\n\r\n"
+    )
+}
+
+/// A request that must never run twice.
+pub fn pay(id: &str, deadline: &str) -> String {
+    format!(
+        "POST /api HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {id}\r\nReq-Kind: pay\r\n\
+         Req-Owner: club\r\nReq-Deadline: {deadline}\r\nContent-Length: 4\r\n\r\nbody"
+    )
+}
--- /dev/null
+++ b/node/tests/sockets.rs
@@ -0,0 +1,265 @@
+//! The balancer on loopback sockets: each test stands for one way in which it could fail.
+mod common;
+use common::*;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::channel;
+use std::sync::Arc;
+
+/// The first request is met with `first`, all later ones with an answer, whichever upstream they reach.
+fn first_then_ok(first: fn() -> Then) -> impl Fn(&Message) -> Then + Clone + Send + Sync {
+    let seen = Arc::new(AtomicUsize::new(0));
+    move |_| if seen.fetch_add(1, Ordering::SeqCst) == 0 { first() } else { ok("served") }
+}
+
+#[test]
+fn a_request_goes_on_unchanged_and_so_does_its_answer() {
+    let upstream = Upstream::start(|_| ok("the answer"));
+    let node = Node::with(&[upstream.addr]);
+    let mut client = node.client();
+    assert_eq!(client.call("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
+    let answer = client.call(
+        "POST /api/a%20b?q=1&r HTTP/1.1\r\nHost: service.internal\r\nReq-Id: 9b1f\r\nReq-Kind: order\r\n\
+         Req-Owner: club\r\nReq-Deadline: 8000m\r\nIdempotency-Key: 5c0f\r\nContent-Length: 5\r\n\r\nhello",
+    );
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"the answer"[..]));
+    let got = upstream.request();
+    assert_eq!(got.start, "POST /api/a%20b?q=1&r HTTP/1.1");
+    assert_eq!((got.header("req-id"), got.header("idempotency-key")), (Some("9b1f"), Some("5c0f")));
+    assert_eq!(got.body, b"hello");
+    let wait = got.header("req-deadline").and_then(|d| d.strip_suffix('u')).expect("microseconds");
+    assert!((1..=8_000_000).contains(&wait.parse::<u64>().expect("a number")), "{wait}");
+}
+
+#[test]
+fn requests_one_after_another_share_one_connection() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let node = Node::with(&[upstream.addr]);
+    let mut client = node.client();
+    for i in 0..20 {
+        assert_eq!(client.call(&get(&format!("r{i}"), "5000m")).status(), 200);
+    }
+    assert_eq!(upstream.connections.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn bad_input_is_answered_here_and_hurts_nobody_else() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let node = Node::with(&[upstream.addr]);
+    let good = get("r1", "5000m");
+    let mut client = node.client();
+    for (from, to, status) in [
+        ("Req-Kind: read", "Req-Kind: odd", 400),
+        ("Req-Owner: club", "Req-Owner: odd", 400),
+        ("Req-Owner: club\r\n", "", 400),
+        ("Req-Id: r1\r\n", "", 400),
+        ("Req-Deadline: 5000m", "Req-Deadline: soon", 400),
+        ("Req-Deadline: 5000m\r\n", "", 400),
+        ("Req-Deadline: 5000m", "Req-Deadline: 1m\r\nReq-Deadline: 2m", 400),
+        ("GET", "DELETE", 400),
+        ("/api/x", "/elsewhere", 404),
+        ("/api/x", "/apix", 404),
+    ] {
+        assert_eq!(client.call(&good.replace(from, to)).status(), status, "{to:?} for {from:?}");
+    }
+    let mut large = node.client();
+    let head = pay("r2", "5000m").replace("Content-Length: 4\r\n\r\nbody", "Content-Length: 65537\r\n\r\n");
+    assert_eq!(large.call(&head).status(), 413);
+    // Not stated but streamed: counted while it comes.
+    let mut large = node.client();
+    let head =
+        pay("r3", "5000m").replace("Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n");
+    large.send(&format!("{head}10001\r\n{}\r\n", "x".repeat(0x10001)));
+    assert_eq!(large.answer().expect("an answer").status(), 413);
+    node.client().send("\u{16}\u{3}\u{1} garbage \r\n\r\n\r\n");
+    assert_eq!(client.call(&good).status(), 200);
+    assert_eq!(upstream.request().header("req-id"), Some("r1"));
+    assert_eq!(upstream.further(), 0);
+}
+
+#[test]
+fn only_a_marked_refusal_proves_that_nothing_ran() {
+    let behave = first_then_ok(|| status("503 Service Unavailable\r\nSrv-Declined: 1"));
+    let (a, b) = (Upstream::start(behave.clone()), Upstream::start(behave));
+    let node = Node::with(&[a.addr, b.addr]);
+    assert_eq!(node.client().call(&pay("r1", "5000m")).status(), 200);
+    assert_eq!(a.further() + b.further(), 2);
+
+    for first in [
+        || status("503 Service Unavailable"),
+        || status("504 Gateway Timeout\r\nSrv-Declined: 0"),
+        || status("500 Internal Server Error\r\nSrv-Declined: 1"),
+        || Then::Hang,
+        || Then::AnswerAndClose("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".into()),
+        || Then::AnswerAndClose("garbage\r\n\r\n".into()),
+    ] {
+        let behave = first_then_ok(first);
+        let (a, b) = (Upstream::start(behave.clone()), Upstream::start(behave));
+        let node = Node::with(&[a.addr, b.addr]);
+        // It may have run: neither another attempt nor a refusal, which would invite one.
+        assert_eq!(node.client().call(&pay("r1", "5000m")).status(), 502);
+        assert_eq!(a.further() + b.further(), 1);
+    }
+}
+
+#[test]
+fn a_refused_connection_is_no_attempt() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let node = Node::with(&[refusing(), upstream.addr]);
+    let mut client = node.client();
+    for i in 0..10 {
+        assert_eq!(client.call(&pay(&format!("r{i}"), "5000m")).status(), 200);
+    }
+    assert_eq!(upstream.further(), 10);
+}
+
+#[test]
+fn a_connection_closed_while_it_rested_costs_no_request() {
+    let upstream =
+        Upstream::start(|_| Then::AnswerAndClose("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx".into()));
+    let node = Node::with(&[upstream.addr]);
+    let mut client = node.client();
+    node.discovery.called();
+    assert_eq!(client.call("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
+    let without = node.descriptors();
+    for i in 0..20 {
+        assert_eq!(client.call(&pay(&format!("r{i}"), "5000m")).status(), 200);
+        assert_eq!(upstream.request().header("req-id"), Some(format!("r{i}").as_str()));
+        let started = std::time::Instant::now();
+        while node.descriptors() > without {
+            assert!(started.elapsed() < PATIENCE, "the closed connection is still held");
+            std::thread::yield_now();
+        }
+    }
+    assert_eq!(upstream.further(), 0);
+}
+
+#[test]
+fn silence_until_the_deadline_gets_one_answer_and_closes_the_connection() {
+    let silent =
+        || Upstream::start(|m| if m.header("req-id") == Some("late") { Then::Wait } else { ok("x") });
+    let upstream = silent();
+    let node = Node::with(&[upstream.addr]);
+    let mut client = node.client();
+    assert_eq!(client.call(&pay("late", "300m")).status(), 502);
+    upstream.request();
+    upstream.closed();
+    // The next answer on the connection belongs to the next request: nothing more came for the first.
+    assert_eq!(client.call(&pay("next", "5000m")).status(), 200);
+    assert_eq!(upstream.request().header("req-id"), Some("next"));
+}
+
+#[test]
+fn an_attempt_is_called_off_when_its_client_has_gone() {
+    let upstream = Upstream::start(|m| if m.header("req-id") == Some("gone") { Then::Wait } else { ok("x") });
+    let node = Node::with(&[upstream.addr]);
+    let mut client = node.client();
+    client.send(&pay("gone", "20000m"));
+    upstream.request();
+    drop(client);
+    upstream.closed();
+    assert_eq!(node.client().call(&pay("next", "5000m")).status(), 200);
+}
+
+#[test]
+fn a_refusal_comes_at_once_and_says_when_to_return() {
+    // Nobody is known to serve it, and its deadline is far off.
+    let node = Node::start(1024, "null");
+    let mut client = node.client();
+    assert_eq!(client.call("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 503);
+    let started = std::time::Instant::now();
+    let answer = client.call(&pay("r1", "86400000m"));
+    assert_eq!(answer.status(), 503);
+    assert!(started.elapsed() < PATIENCE);
+    let after: f64 = answer.header("retry-after").expect("advice").parse().expect("a number");
+    assert!(after > 0.0 && after <= 2.0, "{after}");
+}
+
+#[test]
+fn the_watch_follows_versions_and_bad_answers_change_nothing() {
+    let (old, new) = (Upstream::start(|_| ok("old")), Upstream::start(|_| ok("new")));
+    let node = Node::start(1024, &listing(5, true, &[(0, old.addr, "active")]));
+    let discovery = &node.discovery;
+    let mut client = node.client();
+    let mut ask = |id: &str| String::from_utf8(client.call(&get(id, "5000m")).body).expect("text");
+    assert!(discovery.called().starts_with("/api/targets?since=5&timeout_ms="));
+    assert_eq!(ask("r1"), "old");
+    let changes = [(0, old.addr, "leaving"), (1, new.addr, "active")];
+    discovery.answer(&listing(7, false, &changes));
+    // The watch is armed again, which shows that the news has been taken in.
+    assert!(discovery.called().starts_with("/api/targets?since=7&"));
+    for i in 0..10 {
+        assert_eq!(ask(&format!("n{i}")), "new");
+    }
+    for bad in [
+        "{\"version\":8,\"full\":true,\"servers\":[{\"id\":\"s-0\"}]}".to_string(),
+        listing(9, true, &[(0, old.addr, "odd")]),
+        listing(4, true, &[(0, old.addr, "active")]),
+        "not even".to_string(),
+    ] {
+        discovery.answer(&bad);
+        assert!(discovery.called().starts_with("/api/targets?since=7&"), "asked again after {bad}");
+        assert_eq!(ask("r"), "new");
+    }
+    discovery.fail();
+    assert!(discovery.called().starts_with("/api/targets?since=7&"));
+    assert_eq!(ask("r"), "new");
+    discovery.answer(&listing(9, true, &[(0, old.addr, "active")]));
+    assert!(discovery.called().starts_with("/api/targets?since=9&"));
+    assert_eq!(ask("r"), "old", "a whole list without an upstream ends it");
+}
+
+#[test]
+fn idle_callers_make_way_for_new_ones() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let known = listing(1, true, &[(0, upstream.addr, "active")]);
+    let node = Node::start(64, &known);
+    // Far more kept connections than descriptors: the one that rested longest is closed for the next.
+    let mut clients: Vec<Client> = Vec::new();
+    for i in 0..100 {
+        let mut client = node.client();
+        assert_eq!(client.call(&get(&format!("r{i}"), "10000m")).status(), 200);
+        clients.push(client);
+    }
+    assert!(clients[0].answer().is_none(), "the first was closed between requests");
+}
+
+#[test]
+fn told_to_end_it_answers_what_it_has_and_what_still_comes() {
+    let (word, hold) = channel();
+    let hold = std::sync::Mutex::new(Some(hold));
+    let upstream = Upstream::start(move |_| match hold.lock().expect("no panic").take() {
+        Some(hold) => Then::Hold(hold, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nheld".into()),
+        None => ok("x"),
+    });
+    let mut node = Node::with(&[upstream.addr]);
+    let (mut early, mut kept) = (node.client(), node.client());
+    early.send(&pay("early", "20000m"));
+    upstream.request();
+    assert_eq!(kept.call(&get("kept", "5000m")).status(), 200);
+    node.terminate();
+    // Connections end with their next answer once it leaves; until then they are served as ever.
+    while kept.call(&get("again", "5000m")).header("connection") != Some("close") {}
+    assert!(kept.answer().is_none());
+    let late = node.client().call(&get("late", "5000m"));
+    assert_eq!((late.status(), late.header("connection")), (200, Some("close")));
+    word.send(()).expect("the upstream waits");
+    assert_eq!(early.answer().expect("the held answer").body, b"held");
+    assert_eq!(node.wait().code(), Some(0));
+}
+
+#[test]
+fn a_broken_configuration_is_named_on_one_line() {
+    let good = config(refusing(), 1024, "null");
+    for (from, to, field) in [
+        ("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":5", "seed"),
+        ("127.0.0.1:0", "nowhere", "listen"),
+        ("\"balancers\":1", "\"balancers\":\"x\"", "settings: balancers"),
+        ("\"tip_multiple\":4", "\"other\":4", "tip_multiple"),
+        ("\"sockets\":1024", "\"sockets\":-1", "limits.sockets"),
+    ] {
+        let output = command(&good.replace(from, to)).output().expect("runs");
+        let log = String::from_utf8(output.stderr).expect("text");
+        assert!(!output.status.success());
+        assert!(log.lines().count() == 1 && log.contains(field), "{field}: {log}");
+    }
+}
