One budget of sockets; answers that nobody reads and missing descriptors hold nothing up

By probe: with fixed halves callers could hold half the descriptors only, while upstreams left theirs unused (two semaphores in main.rs); a caller that never read its answer kept its connection for good (Server::connection waited for it without end). Now callers may hold three quarters of one budget, upstreams what is left, and a connection that is to close has 2 s to take its answer. Tests over loopback: 32 descriptors under a configuration that says 1,024, and an upstream that never accepts, which must end as a refusal since nothing went out.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -216,6 +216,11 @@
         self.0.driver.borrow().open.values().filter(|o| o.reply.is_some()).count()
     }
 
+    /// Closes an idle connection to an upstream, if there is one: its socket is needed elsewhere.
+    pub fn free_socket(&self) {
+        self.0.driver.borrow_mut().free_socket();
+    }
+
     /// Waits until the module subscribes to the list.
     pub async fn subscribed(&self) {
         self.0.subscribe.notified().await;
@@ -380,7 +385,7 @@
         open.running += 1;
         let out = open.out.clone();
         let (transport, handle) = (d.transport.clone(), self.clone());
-        if target.oldest_idle().is_none() && transport.sockets.available_permits() == 0 {
+        if target.oldest_idle().is_none() && transport.sockets.exhausted() {
             d.free_socket();
         }
         let task = tokio::task::spawn_local(async move {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,6 +5,7 @@
 mod discovery;
 mod driver;
 mod server;
+mod sockets;
 mod upstream;
 
 use config::Config;
@@ -12,21 +13,18 @@
 use driver::{Handle, Parts};
 use oakflow::Balancer;
 use server::{Phase, Server};
+use sockets::Sockets;
 use std::process::ExitCode;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// New connections go on coming for this long after SIGTERM, with some room.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
 /// Longest wait, after that, for what was taken: SIGKILL comes at 3.7 s at the soonest.
 const FINISHING: Duration = Duration::from_millis(3000);
-/// Descriptors for everything but connections of callers and upstreams: the listener, discovery, the runtime.
-const SOCKETS_SPARE: usize = 24;
-
 fn load() -> Result<Config, String> {
     let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
     let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
@@ -54,14 +52,11 @@
     let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     let balancer = Balancer::new(deployment.policy.clone(), seed, start_ms).map_err(|e| e.to_string())?;
     let span = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
-    // One budget: callers may hold half of it, so that there is always a way on to the upstreams.
-    let budget = sockets - SOCKETS_SPARE;
-    let callers = Arc::new(Semaphore::new(budget / 2));
-    let upstreams = Arc::new(Semaphore::new(budget - budget / 2));
+    let budget = Sockets::new(sockets);
     let transport = upstream::Transport::new(
         span(deployment.dial_timeout),
         span(deployment.policy.idle_close.min(86_400_000.0)),
-        upstreams,
+        budget.clone(),
     );
     let handle = Handle::new(Parts {
         balancer,
@@ -80,7 +75,7 @@
     tokio::task::spawn_local(watcher.run(handle.clone(), !deployment.policy.ask_for_list));
     let (phase, phases) = watch::channel(Phase::Up);
     let served =
-        tokio::task::spawn_local(Server::new(handle.clone(), deployment, phases).run(listener, callers));
+        tokio::task::spawn_local(Server::new(handle.clone(), deployment, budget, phases).run(listener));
     eprintln!("{name}: serving on {address}");
 
     tokio::select! {
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,5 +1,6 @@
 //! The callers' side: takes requests whole, hands them to the driver and writes the one final answer.
 use crate::driver::{Answer, Handle, Outgoing, Waiting};
+use crate::sockets::{Places, Sockets};
 use crate::upstream::{end_to_end, BODY_MOST, DEADLINE};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -15,16 +16,17 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{watch, Notify};
 use tokio::time::timeout;
 
 /// A caller has this long for the head of a request, and for the next one on a kept connection.
 const HEAD_WAIT: Duration = Duration::from_secs(60);
 /// And this long for the body.
 const BODY_WAIT: Duration = Duration::from_secs(10);
+/// A connection that is to close, and owes no answer, has this long to take what was written.
+const FLUSH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after an accept that failed, for want of descriptors for one.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// While all callers' connections are busy, the next look for one that may be closed comes after this.
@@ -49,6 +51,7 @@
 pub struct Server {
     driver: Handle,
     deployment: Deployment,
+    sockets: Sockets,
     phase: watch::Receiver<Phase>,
     /// Connections between requests, the one that rested longest first, and how to close them.
     idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
@@ -57,37 +60,58 @@
 }
 
 impl Server {
-    /// Serves callers through `driver`.
-    pub fn new(driver: Handle, deployment: Deployment, phase: watch::Receiver<Phase>) -> Rc<Server> {
-        Rc::new(Server { driver, deployment, phase, idle: RefCell::default(), turn: Cell::new(0) })
+    /// Serves callers through `driver`, on what `sockets` leaves.
+    pub fn new(
+        driver: Handle,
+        deployment: Deployment,
+        sockets: Sockets,
+        phase: watch::Receiver<Phase>,
+    ) -> Rc<Server> {
+        let (idle, turn) = (RefCell::default(), Cell::new(0));
+        Rc::new(Server { driver, deployment, sockets, phase, idle, turn })
     }
 
-    /// Notes that a connection is between requests. Its place is to be taken out when that ends.
-    fn rests(&self, close: &Rc<Notify>) -> u64 {
+    /// Notes that a connection is between requests. Its number is to be taken out when that ends.
+    fn rests(&self, close: &Rc<Notify>) -> Option<u64> {
         self.turn.set(self.turn.get() + 1);
         self.idle.borrow_mut().insert(self.turn.get(), close.clone());
-        self.turn.get()
+        Some(self.turn.get())
+    }
+
+    fn rests_no_more(&self, number: Option<u64>) {
+        if let Some(number) = number {
+            self.idle.borrow_mut().remove(&number);
+        }
+    }
+
+    /// Closes the connection between requests that rested longest, if there is one.
+    fn close_one(&self) -> bool {
+        let first = self.idle.borrow_mut().pop_first();
+        first.is_some_and(|(_, close)| {
+            close.notify_one();
+            true
+        })
     }
 
     /// Room for one more caller. Guards against idle connections that callers keep shutting others out: what is
     /// written to a connection that waits to be accepted counts as taken, so one between requests makes way.
-    async fn room(&self, callers: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
+    async fn room(&self) -> Option<Places> {
         loop {
-            if let Ok(permit) = callers.clone().try_acquire_owned() {
-                return Some(permit);
+            if let Some(places) = self.sockets.caller() {
+                return Some(places);
             }
-            if let Some((_, close)) = self.idle.borrow_mut().pop_first() {
-                close.notify_one();
+            if !self.close_one() && self.sockets.exhausted() {
+                self.driver.free_socket();
             }
-            if let Ok(permit) = timeout(CROWDED_PAUSE, callers.clone().acquire_owned()).await {
-                return permit.ok();
+            // Whoever closes gives its place back; while all are busy, look again a little later.
+            if let Ok(places) = timeout(CROWDED_PAUSE, self.sockets.caller_waits()).await {
+                return places;
             }
         }
     }
 
     /// Accepts callers until the program closes. Returns once every connection has ended.
-    pub async fn run(self: Rc<Server>, listener: TcpListener, callers: Arc<Semaphore>) {
-        let most = callers.available_permits() as u32;
+    pub async fn run(self: Rc<Server>, listener: TcpListener) {
         let mut phase = self.phase.clone();
         loop {
             let accepted = tokio::select! {
@@ -98,22 +122,22 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    let Some(permit) = self.room(&callers).await else { break };
-                    tokio::task::spawn_local(self.clone().connection(stream, permit));
+                    let Some(places) = self.room().await else { break };
+                    tokio::task::spawn_local(self.clone().connection(stream, places));
                 }
                 // Out of descriptors, or a caller that left at once: no reason to end, nor to spin.
                 Err(e) => {
                     eprintln!("accept: {e}");
+                    self.close_one();
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
         drop(listener);
-        // Every connection holds a permit for as long as it lives.
-        let _ = callers.acquire_many(most).await;
+        self.sockets.callers_left().await;
     }
 
-    async fn connection(self: Rc<Server>, stream: TcpStream, _permit: OwnedSemaphorePermit) {
+    async fn connection(self: Rc<Server>, stream: TcpStream, _places: Places) {
         // Without it answers wait for the caller's acknowledgements; where it fails the caller is gone.
         if stream.set_nodelay(true).is_err() {
             return;
@@ -124,7 +148,7 @@
         let service = service_fn(move |request| {
             let (server, close, place) = (server.clone(), again.clone(), at.clone());
             async move {
-                server.idle.borrow_mut().remove(&place.get());
+                server.rests_no_more(place.take());
                 let response = server.respond(request).await;
                 place.set(server.rests(&close));
                 Ok::<_, Infallible>(response)
@@ -145,14 +169,15 @@
         };
         if !ended {
             connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            // Guards against callers that never read their answer, or never send a request: no hold on us.
+            while timeout(FLUSH_WAIT, connection.as_mut()).await.is_err() && place.get().is_none() {}
         }
-        self.idle.borrow_mut().remove(&place.get());
+        self.rests_no_more(place.take());
     }
 
     async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let mut response = match request.uri().path() {
-            READY if self.driver.ready() => plain(StatusCode::OK),
+            READY if self.driver.ready() && *self.phase.borrow() == Phase::Up => plain(StatusCode::OK),
             READY => plain(StatusCode::SERVICE_UNAVAILABLE),
             path if path == SERVICE || path.starts_with("/api/") => match self.take(request).await {
                 Ok(waiting) => final_answer(waiting.answer().await),
--- /dev/null
+++ b/node/src/sockets.rs
@@ -0,0 +1,58 @@
+//! The one budget of sockets that callers and upstreams share.
+use std::sync::Arc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// Descriptors for everything else: the listener, discovery, the runtime, sockets that are just closing.
+const SPARE: usize = 24;
+
+/// Counts the sockets that are open and those that still may be.
+#[derive(Clone)]
+pub struct Sockets {
+    all: Arc<Semaphore>,
+    callers: Arc<Semaphore>,
+    callers_most: u32,
+}
+
+/// A caller's place in the budget, given back when dropped.
+pub struct Places {
+    _all: OwnedSemaphorePermit,
+    _caller: OwnedSemaphorePermit,
+}
+
+impl Sockets {
+    /// A budget under this many descriptors. Callers may hold three quarters of it, so that there is always a
+    /// way on to the upstreams; upstreams may hold all that callers leave.
+    pub fn new(descriptors: usize) -> Sockets {
+        let budget = u32::try_from(descriptors.saturating_sub(SPARE)).unwrap_or(u32::MAX).min(1 << 20);
+        let callers_most = budget / 4 * 3;
+        let places = |n: u32| Arc::new(Semaphore::new(n as usize));
+        Sockets { all: places(budget), callers: places(callers_most), callers_most }
+    }
+
+    /// A place for a caller, if there is one now.
+    pub fn caller(&self) -> Option<Places> {
+        let _caller = self.callers.clone().try_acquire_owned().ok()?;
+        Some(Places { _caller, _all: self.upstream()? })
+    }
+
+    /// A place for a caller, once there is one.
+    pub async fn caller_waits(&self) -> Option<Places> {
+        let _caller = self.callers.clone().acquire_owned().await.ok()?;
+        Some(Places { _caller, _all: self.all.clone().acquire_owned().await.ok()? })
+    }
+
+    /// A place for a connection to an upstream, if there is one now.
+    pub fn upstream(&self) -> Option<OwnedSemaphorePermit> {
+        self.all.clone().try_acquire_owned().ok()
+    }
+
+    /// Whether nothing more may be opened.
+    pub fn exhausted(&self) -> bool {
+        self.all.available_permits() == 0
+    }
+
+    /// Waits until no caller is connected.
+    pub async fn callers_left(&self) {
+        let _all = self.callers.acquire_many(self.callers_most).await;
+    }
+}
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Attempts: one request to one upstream, once; and the connections that are kept for the next.
 use crate::driver::{Answer, Outgoing};
+use crate::sockets::Sockets;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
@@ -12,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, timeout_at, Instant};
 
@@ -135,18 +136,18 @@
     /// Connections are closed when idle for this long.
     pub idle: Duration,
     /// Sockets that may still be opened.
-    pub sockets: std::sync::Arc<Semaphore>,
+    pub sockets: Sockets,
 }
 
 impl Transport {
     /// `idle_close` is when upstreams close idle connections.
-    pub fn new(dial_timeout: Duration, idle_close: Duration, sockets: std::sync::Arc<Semaphore>) -> Self {
+    pub fn new(dial_timeout: Duration, idle_close: Duration, sockets: Sockets) -> Self {
         let idle = idle_close.saturating_sub(IDLE_MARGIN).max(idle_close / 2);
         Transport { dial_timeout, idle, sockets }
     }
 
     async fn dial(&self, addr: SocketAddr, until: Instant) -> Option<Conn> {
-        let permit = self.sockets.clone().try_acquire_owned().ok()?;
+        let permit = self.sockets.upstream()?;
         let until = until.min(Instant::now() + self.dial_timeout);
         let stream = timeout_at(until, TcpStream::connect(addr)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -163,6 +163,37 @@
     TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("an address")
 }
 
+/// An address where connections never come up: its one place for a waiting connection is taken.
+pub struct Unreachable {
+    pub addr: SocketAddr,
+    _listener: socket2::Socket,
+    _waiting: Vec<socket2::Socket>,
+}
+
+impl Unreachable {
+    pub fn start() -> Unreachable {
+        let tcp =
+            || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        let listener = tcp();
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("binds");
+        listener.listen(0).expect("listens");
+        let at = listener.local_addr().expect("an address");
+        let mut waiting = Vec::new();
+        // Connections come up until the queue is full; the first that does not shows that it is.
+        loop {
+            let next = tcp();
+            let up = next.connect_timeout(&at, Duration::from_millis(300)).is_ok();
+            waiting.push(next);
+            if !up {
+                break;
+            }
+            assert!(waiting.len() < 64, "the queue has no end");
+        }
+        let addr = at.as_socket().expect("an address");
+        Unreachable { addr, _listener: listener, _waiting: waiting }
+    }
+}
+
 /// Discovery that gives one prepared answer for each call, in order, and is silent without one.
 pub struct Discovery {
     pub addr: SocketAddr,
@@ -243,12 +274,24 @@
     pub discovery: Discovery,
 }
 
+/// The balancer with this configuration.
 pub fn command(config: &str) -> Command {
+    prepared(config, Command::new(env!("CARGO_BIN_EXE_herondock")))
+}
+
+/// The same under a limit of descriptors that the configuration does not tell of.
+pub fn limited_command(config: &str, descriptors: usize) -> Command {
+    let mut shell = Command::new("sh");
+    let exec = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_herondock"));
+    shell.args(["-c", &exec]);
+    prepared(config, shell)
+}
+
+fn prepared(config: &str, mut command: Command) -> Command {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
     let name = format!("node-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("writes the configuration");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_herondock"));
     command.env("NODE_CONFIG", path).stdout(Stdio::null()).stderr(Stdio::piped());
     command
 }
@@ -257,8 +300,12 @@
     /// A balancer that starts with this list.
     pub fn start(sockets: usize, known: &str) -> Node {
         let discovery = Discovery::start();
-        let config = &config(discovery.addr, sockets, known);
-        let mut child = command(config).spawn().expect("starts");
+        let command = command(&config(discovery.addr, sockets, known));
+        Node::run(command, discovery)
+    }
+
+    pub fn run(mut command: Command, discovery: Discovery) -> Node {
+        let mut child = command.spawn().expect("starts");
         let mut log = BufReader::new(child.stderr.take().expect("its log"));
         let addr = loop {
             let mut line = String::new();
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -223,6 +223,37 @@
     assert!(clients[0].answer().is_none(), "the first was closed between requests");
 }
 
+#[test]
+fn running_out_of_descriptors_ends_nothing() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let known = listing(1, true, &[(0, upstream.addr, "active")]);
+    let discovery = Discovery::start();
+    // The configuration promises more than the system gives: accepting fails, and goes on.
+    let limited = limited_command(&config(discovery.addr, 1024, &known), 32);
+    let node = Node::run(limited, discovery);
+    let mut clients: Vec<Client> = Vec::new();
+    for i in 0..60 {
+        let mut client = node.client();
+        let status = client.call(&get(&format!("r{i}"), "10000m")).status();
+        // With no descriptor left for the upstream nothing has run.
+        assert!(status == 200 || status == 503, "{status}");
+        clients.push(client);
+    }
+    drop(clients);
+    let started = std::time::Instant::now();
+    while node.client().call(&get("after", "10000m")).status() != 200 {
+        assert!(started.elapsed() < PATIENCE, "it does not recover");
+    }
+}
+
+#[test]
+fn a_connection_that_never_comes_up_is_no_attempt() {
+    let full = Unreachable::start();
+    let node = Node::with(&[full.addr]);
+    // Nothing went out, so another try does no harm: a refusal, also for what must not run twice.
+    assert_eq!(node.client().call(&pay("r1", "20000m")).status(), 503);
+}
+
 #[test]
 fn told_to_end_it_answers_what_it_has_and_what_still_comes() {
     let (word, hold) = channel();
