Nothing is written for what is over; a watch outlives closed connections

Ruled out by the tests: a write after the grace of a draining upstream, which was guarded already but untested. Also: both ends of an attempt, by outcome and by cancel, are booked in one place; SIGINT ends like SIGTERM; failing accepts are logged once a run of them.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -201,11 +201,15 @@
     }
 
     async fn fetch(&mut self) -> Result<Listing, String> {
-        if self.link.as_ref().is_none_or(|l| l.sender.is_closed()) {
+        // Guards against a connection that discovery closed after its last answer: that is no failed call.
+        let up = match self.link.as_mut() {
+            Some(link) => link.sender.ready().await.is_ok(),
+            None => false,
+        };
+        if !up {
             self.link = Some(Link::open(self.addr).await?);
         }
         let Some(link) = self.link.as_mut() else { return Err("not connected".into()) };
-        link.sender.ready().await.map_err(|e| e.to_string())?;
         let path = match self.version {
             Some(v) => format!("/api/targets?since={v}&timeout_ms={}", WAIT.as_millis()),
             None => "/api/targets".to_string(),
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -8,7 +8,7 @@
 use oakflow::{
     Action, Availability, Balancer, Ending, Event, Membership, Millis, Request, RequestId, UpstreamId,
 };
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -33,6 +33,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// Set when the request has ended: what has not been written for it by then must not be.
+    pub over: Cell<bool>,
 }
 
 /// The one final answer to a request.
@@ -63,6 +65,14 @@
     running: u32,
 }
 
+impl Open {
+    /// The way to the client, once; the request is over with it.
+    fn end(&mut self) -> Option<oneshot::Sender<Answer>> {
+        self.out.over.set(true);
+        self.reply.take()
+    }
+}
+
 struct Attempt {
     upstream: UpstreamId,
     sent: Instant,
@@ -274,7 +284,7 @@
         {
             let mut d = self.0.driver.borrow_mut();
             // Answered in the same instant: the module has ended it already.
-            if d.open.get_mut(&id).and_then(|o| o.reply.take()).is_none() {
+            if d.open.get_mut(&id).and_then(Open::end).is_none() {
                 return;
             }
             d.forget(id);
@@ -282,28 +292,12 @@
         self.feed(Event::ClientGone(id));
     }
 
-    /// Books the end of an attempt; the first end counts. What still runs for it is ended with its connection.
+    /// An attempt has ended: tells the module, unless an earlier end of it counts.
     fn ended(&self, id: RequestId, number: u32, ending: Ending, answer: Option<Answer>) {
-        let event = {
-            let mut d = self.0.driver.borrow_mut();
-            let Some(attempt) = d.attempts.remove(&(id, number)) else { return };
-            attempt.task.abort();
-            d.timers.remove(&attempt.due);
-            let duration = attempt.sent.elapsed().as_secs_f64() * 1000.0;
-            d.forget_upstream(attempt.upstream);
-            let mut closed = true;
-            if let Some(open) = d.open.get_mut(&id) {
-                open.running -= 1;
-                if let Some(reply) = answer.and_then(|a| Some((open.reply.take()?, a))) {
-                    // A client that left in the same instant gets nothing; it is no longer owed anything.
-                    let _ = reply.0.send(reply.1);
-                }
-                closed = open.reply.is_none();
-            }
-            d.forget(id);
-            Event::Outcome { request: id, attempt: number, ending, duration, closed }
-        };
-        self.feed(event);
+        let event = self.0.driver.borrow_mut().end(id, number, ending, answer);
+        if let Some(event) = event {
+            self.feed(event);
+        }
     }
 
     /// Hands the module an event and carries out what it wants, and so on for what follows at once from that.
@@ -324,24 +318,8 @@
         match action {
             Action::Send { request, upstream, timeout } => self.send(d, request, upstream, timeout),
             Action::Cancel { request, attempt } => {
-                if let Some(a) = d.attempts.remove(&(request, attempt)) {
-                    a.task.abort();
-                    d.timers.remove(&a.due);
-                    d.forget_upstream(a.upstream);
-                    let duration = a.sent.elapsed().as_secs_f64() * 1000.0;
-                    let mut closed = true;
-                    if let Some(open) = d.open.get_mut(&request) {
-                        open.running -= 1;
-                        closed = open.reply.is_none();
-                    }
-                    d.forget(request);
-                    d.events.push_back(Event::Outcome {
-                        request,
-                        attempt,
-                        ending: Ending::Cancelled,
-                        duration,
-                        closed,
-                    });
+                if let Some(event) = d.end(request, attempt, Ending::Cancelled, None) {
+                    d.events.push_back(event);
                 }
             }
             Action::Refuse { request, retry_after } => d.answer(request, Answer::Refused { retry_after }),
@@ -410,8 +388,29 @@
         (at, self.timer_seq)
     }
 
+    /// Books the end of an attempt; only the first one counts. What still runs for it stops, and its connection
+    /// is closed. The event is the module's one outcome for its send.
+    fn end(&mut self, id: RequestId, number: u32, ending: Ending, answer: Option<Answer>) -> Option<Event> {
+        let attempt = self.attempts.remove(&(id, number))?;
+        attempt.task.abort();
+        self.timers.remove(&attempt.due);
+        self.forget_upstream(attempt.upstream);
+        let duration = attempt.sent.elapsed().as_secs_f64() * 1000.0;
+        let mut closed = true;
+        if let Some(open) = self.open.get_mut(&id) {
+            open.running -= 1;
+            if let Some((reply, answer)) = answer.and_then(|a| Some((open.end()?, a))) {
+                // A client that left in the same instant gets nothing; it is no longer owed anything.
+                let _ = reply.send(answer);
+            }
+            closed = open.reply.is_none();
+        }
+        self.forget(id);
+        Some(Event::Outcome { request: id, attempt: number, ending, duration, closed })
+    }
+
     fn answer(&mut self, id: RequestId, answer: Answer) {
-        if let Some(reply) = self.open.get_mut(&id).and_then(|o| o.reply.take()) {
+        if let Some(reply) = self.open.get_mut(&id).and_then(Open::end) {
             // A client that left in the same instant gets nothing; it is no longer owed anything.
             let _ = reply.send(answer);
         }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -50,6 +50,7 @@
     let (start, start_ms) = (Instant::now(), driver::unix_ms());
     let Config { name, listen, discovery, seed, sockets, known, deployment } = config;
     let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    let mut int = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
     let balancer = Balancer::new(deployment.policy.clone(), seed, start_ms).map_err(|e| e.to_string())?;
     let span = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
     let budget = Sockets::new(sockets);
@@ -80,6 +81,7 @@
 
     tokio::select! {
         _ = term.recv() => {}
+        _ = int.recv() => {}
         // Without timers no request would end: better to stop at once, seen by all.
         end = timers => return Err(format!("the timers stopped: {end:?}")),
     }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -112,7 +112,7 @@
 
     /// Accepts callers until the program closes. Returns once every connection has ended.
     pub async fn run(self: Rc<Server>, listener: TcpListener) {
-        let mut phase = self.phase.clone();
+        let (mut phase, mut failing) = (self.phase.clone(), false);
         loop {
             let accepted = tokio::select! {
                 biased;
@@ -122,12 +122,15 @@
             };
             match accepted {
                 Ok((stream, _)) => {
+                    failing = false;
                     let Some(places) = self.room().await else { break };
                     tokio::task::spawn_local(self.clone().connection(stream, places));
                 }
                 // Out of descriptors, or a caller that left at once: no reason to end, nor to spin.
                 Err(e) => {
-                    eprintln!("accept: {e}");
+                    if !std::mem::replace(&mut failing, true) {
+                        eprintln!("accept: {e}");
+                    }
                     self.close_one();
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
@@ -211,7 +214,7 @@
         end_to_end(&mut headers);
         headers.remove(&DEADLINE);
         let target = head.uri.path_and_query().map(|p| Uri::from(p.clone())).unwrap_or_default();
-        let out = Outgoing { method: head.method, target, headers, body };
+        let out = Outgoing { method: head.method, target, headers, body, over: Cell::new(false) };
         let full = || final_answer(Answer::Refused { retry_after: 0.0 });
         self.driver.take(class, tenant, patience, out).ok_or_else(full)
     }
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -180,8 +180,9 @@
                 },
             };
             let now = Instant::now();
-            // Guards the drain rule: dialling may outlast the grace, and what was decided before is written now.
-            if to.closed(now) || now >= until {
+            // Guards against what was decided before dialling and must not be written after it: the upstream's
+            // grace, the attempt's time or the request itself may be over by now.
+            if to.closed(now) || now >= until || out.over.get() {
                 return (Ending::Moot, None);
             }
             let left = (until - now).as_micros();
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -166,8 +166,8 @@
 /// An address where connections never come up: its one place for a waiting connection is taken.
 pub struct Unreachable {
     pub addr: SocketAddr,
-    _listener: socket2::Socket,
-    _waiting: Vec<socket2::Socket>,
+    listener: socket2::Socket,
+    waiting: Vec<socket2::Socket>,
 }
 
 impl Unreachable {
@@ -190,7 +190,23 @@
             assert!(waiting.len() < 64, "the queue has no end");
         }
         let addr = at.as_socket().expect("an address");
-        Unreachable { addr, _listener: listener, _waiting: waiting }
+        Unreachable { addr, listener, waiting }
+    }
+}
+
+impl Unreachable {
+    /// Lets connections come up after all, and returns the first that another made.
+    pub fn reach(self) -> BufReader<TcpStream> {
+        let port = |a: socket2::SockAddr| a.as_socket().expect("an address").port();
+        let own: Vec<u16> = self.waiting.iter().filter_map(|s| s.local_addr().ok()).map(port).collect();
+        loop {
+            let (stream, from) = self.listener.accept().expect("accepts");
+            if !own.contains(&port(from)) {
+                let stream = TcpStream::from(stream);
+                stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+                return BufReader::new(stream);
+            }
+        }
     }
 }
 
@@ -214,6 +230,9 @@
                     let _ = tell.send(call);
                     let Ok(answer) = prepared.recv() else { return };
                     let _ = stream.get_mut().write_all(answer.as_bytes());
+                    if answer.contains("Connection: close") {
+                        break;
+                    }
                 }
             }
         });
@@ -221,7 +240,12 @@
     }
 
     pub fn answer(&self, body: &str) {
-        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        self.answer_with("", body);
+    }
+
+    /// The same with further headers, each with its line end.
+    pub fn answer_with(&self, headers: &str, body: &str) {
+        let text = format!("HTTP/1.1 200 OK\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len());
         self.answers.send(text).expect("discovery runs");
     }
 
@@ -272,6 +296,7 @@
     pub addr: SocketAddr,
     /// Kept, so that it is silent and not gone.
     pub discovery: Discovery,
+    log: Arc<Mutex<Vec<String>>>,
 }
 
 /// The balancer with this configuration.
@@ -314,8 +339,14 @@
                 break addr.parse().expect("an address");
             }
         };
-        thread::spawn(move || for _ in log.lines() {});
-        Node { child, addr, discovery }
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let kept = lines.clone();
+        thread::spawn(move || {
+            for line in log.lines().map_while(Result::ok) {
+                kept.lock().expect("no panic").push(line);
+            }
+        });
+        Node { child, addr, discovery, log: lines }
     }
 
     /// A balancer that knows these upstreams, and whose discovery is silent.
@@ -324,6 +355,11 @@
         Node::start(1024, &listing(1, true, &servers))
     }
 
+    /// What it has logged since it began to serve.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().expect("no panic").clone()
+    }
+
     /// How many descriptors it holds.
     pub fn descriptors(&self) -> usize {
         let path = format!("/proc/{}/fd", self.child.id());
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -254,6 +254,69 @@
     assert_eq!(node.client().call(&pay("r1", "20000m")).status(), 503);
 }
 
+/// A balancer with one upstream that does not come up yet, though dialling it has not been given up either.
+fn dialling(more: impl Fn(String) -> String) -> (Node, Unreachable) {
+    let full = Unreachable::start();
+    let discovery = Discovery::start();
+    let config = config(discovery.addr, 1024, &listing(1, true, &[(0, full.addr, "active")]))
+        .replace("\"idle_close\"", "\"dial_timeout\":20000,\"idle_close\"");
+    let node = Node::run(command(&more(config)), discovery);
+    node.discovery.called();
+    (node, full)
+}
+
+#[test]
+fn nothing_is_written_for_a_request_that_ended_while_dialling() {
+    let (node, full) = dialling(|c| c.replace("\"cancel\":true", "\"cancel\":false"));
+    let without = node.descriptors();
+    let mut client = node.client();
+    client.send(&pay("r1", "20000m"));
+    let started = std::time::Instant::now();
+    // The caller's socket and the one that dials.
+    while node.descriptors() < without + 2 {
+        assert!(started.elapsed() < PATIENCE, "it does not dial");
+        std::thread::yield_now();
+    }
+    drop(client);
+    while node.descriptors() > without + 1 {
+        assert!(started.elapsed() < PATIENCE, "it does not see that the client left");
+        std::thread::yield_now();
+    }
+    assert!(read(&mut full.reach()).is_none());
+}
+
+#[test]
+fn nothing_is_written_after_the_grace_of_an_upstream_that_drains() {
+    let (node, full) = dialling(|c| c.replace("\"drain_grace\":1000", "\"drain_grace\":0"));
+    let without = node.descriptors();
+    let mut client = node.client();
+    client.send(&pay("r1", "20000m"));
+    let started = std::time::Instant::now();
+    while node.descriptors() < without + 2 {
+        assert!(started.elapsed() < PATIENCE, "it does not dial");
+        std::thread::yield_now();
+    }
+    node.discovery.answer(&listing(2, false, &[(0, full.addr, "leaving")]));
+    assert!(node.discovery.called().contains("since=2&"));
+    assert!(read(&mut full.reach()).is_none());
+    // Nothing ran, and nobody else is there to serve it.
+    assert_eq!(client.answer().expect("an answer").status(), 503);
+}
+
+#[test]
+fn a_watch_survives_connections_that_discovery_closes() {
+    let node = Node::start(1024, "null");
+    node.discovery.called();
+    let upstream = Upstream::start(|_| ok("x"));
+    node.discovery.answer_with("Connection: close\r\n", &listing(1, true, &[(0, upstream.addr, "active")]));
+    for version in 1..5 {
+        assert!(node.discovery.called().contains(&format!("since={version}&")));
+        node.discovery.answer_with("Connection: close\r\n", &listing(version + 1, false, &[]));
+    }
+    assert!(node.discovery.called().contains("since=5&"));
+    assert_eq!(node.log(), Vec::<String>::new(), "no call counted as failed");
+}
+
 #[test]
 fn told_to_end_it_answers_what_it_has_and_what_still_comes() {
     let (word, hold) = channel();
