--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -360,6 +360,15 @@
         std::fs::read_dir(path).expect("its descriptors").count()
     }
 
+    /// Waits until the number of its descriptors is as wanted.
+    pub fn holds(&self, wanted: impl Fn(usize) -> bool, otherwise: &str) {
+        let started = Instant::now();
+        while !wanted(self.descriptors()) {
+            assert!(started.elapsed() < PATIENCE, "{otherwise}");
+            thread::yield_now();
+        }
+    }
+
     pub fn terminate(&self) {
         let kill = format!("kill -TERM {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("runs sh").success());
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -124,11 +124,7 @@
     for i in 0..20 {
         assert_eq!(client.call(&pay(&format!("r{i}"), "5000m")).status(), 200);
         assert_eq!(upstream.request().header("req-id"), Some(format!("r{i}").as_str()));
-        let started = std::time::Instant::now();
-        while node.descriptors() > without {
-            assert!(started.elapsed() < PATIENCE, "the closed connection is still held");
-            std::thread::yield_now();
-        }
+        node.holds(|n| n <= without, "the closed connection is still held");
     }
     assert_eq!(upstream.further(), 0);
 }
@@ -271,17 +267,10 @@
     let without = node.descriptors();
     let mut client = node.client();
     client.send(&pay("r1", "20000m"));
-    let started = std::time::Instant::now();
     // The caller's socket and the one that dials.
-    while node.descriptors() < without + 2 {
-        assert!(started.elapsed() < PATIENCE, "it does not dial");
-        std::thread::yield_now();
-    }
+    node.holds(|n| n >= without + 2, "it does not dial");
     drop(client);
-    while node.descriptors() > without + 1 {
-        assert!(started.elapsed() < PATIENCE, "it does not see that the client left");
-        std::thread::yield_now();
-    }
+    node.holds(|n| n <= without + 1, "it does not see that the client left");
     assert!(read(&mut full.reach()).is_none());
 }
 
@@ -291,11 +280,7 @@
     let without = node.descriptors();
     let mut client = node.client();
     client.send(&pay("r1", "20000m"));
-    let started = std::time::Instant::now();
-    while node.descriptors() < without + 2 {
-        assert!(started.elapsed() < PATIENCE, "it does not dial");
-        std::thread::yield_now();
-    }
+    node.holds(|n| n >= without + 2, "it does not dial");
     node.discovery.answer(&listing(2, false, &[(0, full.addr, "leaving")]));
     assert!(node.discovery.called().contains("since=2&"));
     assert!(read(&mut full.reach()).is_none());
