A test for callers that say nothing at the end of the program

Seen: with Server::connection waiting without end the test fails, as the program is held up to its last moment by a caller that sent nothing; with the 2 s of FLUSH_WAIT it passes. An answer that is never read has no test of its own: one answer fits the socket's buffers whole.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -90,7 +90,7 @@
     tokio::time::sleep(STILL_ACCEPTING).await;
     phase.send_replace(Phase::Closing);
     if tokio::time::timeout(FINISHING, served).await.is_err() {
-        eprintln!("{name}: {} requests unanswered at the end", handle.open());
+        eprintln!("{name}: callers are still connected at the end, {} requests unanswered", handle.open());
     }
     Ok(())
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -291,6 +291,7 @@
     /// Kept, so that it is silent and not gone.
     pub discovery: Discovery,
     log: Arc<Mutex<Vec<String>>>,
+    reader: Option<thread::JoinHandle<()>>,
 }
 
 /// The balancer with this configuration.
@@ -335,12 +336,12 @@
         };
         let lines = Arc::new(Mutex::new(Vec::new()));
         let kept = lines.clone();
-        thread::spawn(move || {
+        let reader = thread::spawn(move || {
             for line in log.lines().map_while(Result::ok) {
                 kept.lock().expect("no panic").push(line);
             }
         });
-        Node { child, addr, discovery, log: lines }
+        Node { child, addr, discovery, log: lines, reader: Some(reader) }
     }
 
     /// A balancer that knows these upstreams, and whose discovery is silent.
@@ -374,8 +375,13 @@
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("runs sh").success());
     }
 
+    /// Waits until it has ended and its log is read.
     pub fn wait(&mut self) -> ExitStatus {
-        self.child.wait().expect("it ends")
+        let status = self.child.wait().expect("it ends");
+        if let Some(reader) = self.reader.take() {
+            reader.join().expect("the log is read");
+        }
+        status
     }
 
     pub fn client(&self) -> Client {
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -346,6 +346,21 @@
     assert_eq!(node.wait().code(), Some(0));
 }
 
+#[test]
+fn callers_that_say_nothing_do_not_hold_up_the_end() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let mut node = Node::with(&[upstream.addr]);
+    let _silent = node.client();
+    let mut half = node.client();
+    half.send("GET /api HTTP/1.1\r\nReq-Id: r1\r\n");
+    assert_eq!(node.client().call(&get("r2", "5000m")).status(), 200);
+    node.terminate();
+    assert_eq!(node.wait().code(), Some(0));
+    let log = node.log();
+    assert!(log.iter().any(|l| l.contains("told to end")), "{log:?}");
+    assert!(!log.iter().any(|l| l.contains("at the end")), "it was held up: {log:?}");
+}
+
 #[test]
 fn a_broken_configuration_is_named_on_one_line() {
     let good = config(refusing(), 1024, "null");
