--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -22,6 +23,10 @@
 const ANSWER: Duration = Duration::from_secs(2);
 /// A call for the whole list, which does not wait for news, gets this long: discovery works in turn.
 const WHOLE: Duration = Duration::from_secs(6);
+/// A connection to discovery that is not up after this long has failed: it must not use up a call's time.
+const DIAL: Duration = Duration::from_secs(1);
+/// First pause before a new address that failed is tried again; it doubles with each failure up to [`WHOLE`].
+const MOVED_PAUSE: Duration = Duration::from_millis(100);
 /// Pause before a pushed list is asked for again: the agent is on this machine and answers at no cost.
 const PUSHED_PAUSE: Duration = Duration::from_millis(500);
 /// Largest list accepted.
@@ -134,7 +139,8 @@
 
 impl Link {
     async fn open(addr: SocketAddr) -> Result<Link, String> {
-        let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
+        let dial = timeout(DIAL, TcpStream::connect(addr)).await;
+        let stream = dial.map_err(|_| "not connected in time".to_string())?.map_err(|e| e.to_string())?;
         let (sender, conn) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
         let task = tokio::task::spawn_local(async move {
             // How the connection ended shows in the call that was on it.
@@ -147,24 +153,72 @@
 /// Keeps the list fresh: answers each of the module's subscriptions and keeps a watch that stands.
 pub struct Discovery {
     addr: SocketAddr,
+    addresses: watch::Receiver<SocketAddr>,
     names: Names,
     link: Option<Link>,
     version: Option<u64>,
 }
 
 impl Discovery {
-    /// Begins with the version of the list that the balancer already has, if any.
-    pub fn new(addr: SocketAddr, names: Names, version: Option<u64>) -> Discovery {
-        Discovery { addr, names, link: None, version }
+    /// Begins with the version of the list that the balancer already has, if any. The newest of `addresses` is
+    /// where discovery is.
+    pub fn new(addresses: watch::Receiver<SocketAddr>, names: Names, version: Option<u64>) -> Discovery {
+        let addr = *addresses.borrow();
+        Discovery { addr, addresses, names, link: None, version }
     }
 
     /// Serves subscriptions for ever. With `pushed` the list needs no asking and the watch always stands.
     pub async fn run(mut self, driver: Handle, pushed: bool) {
+        let mut addresses = self.addresses.clone();
+        let mut moved = false;
         loop {
-            if !pushed {
+            // Guards against a dial, a call or a pause at the old address holding up the move to a new one:
+            // whatever is under way there is dropped.
+            tokio::select! {
+                biased;
+                changed = addresses.changed() => match changed {
+                    Ok(()) => {
+                        moved = true;
+                        self.follow(*addresses.borrow_and_update());
+                    }
+                    // The program is ending.
+                    Err(_) => return,
+                },
+                () = self.serve(&driver, pushed, moved) => {}
+            }
+        }
+    }
+
+    /// Goes over to another address, where the versions of the old one mean nothing.
+    fn follow(&mut self, addr: SocketAddr) {
+        eprintln!("discovery: now at {addr}");
+        (self.addr, self.link, self.version) = (addr, None, None);
+    }
+
+    /// Serves subscriptions for ever. After a move the first call waits for none and is repeated until it has
+    /// brought the whole list: until then the balancer goes by what it was told before.
+    async fn serve(&mut self, driver: &Handle, pushed: bool, moved: bool) {
+        let mut answered = false;
+        if moved {
+            let mut pause = MOVED_PAUSE;
+            while !answered {
+                match self.call().await {
+                    Ok(listing) => {
+                        driver.listed(&listing);
+                        answered = true;
+                    }
+                    Err(error) => {
+                        self.failed(&error);
+                        tokio::time::sleep(pause).await;
+                        pause = (pause * 2).min(WHOLE);
+                    }
+                }
+            }
+        }
+        loop {
+            if !pushed && !answered {
                 driver.subscribed().await;
             }
-            let mut answered = false;
             let error = loop {
                 match self.call().await {
                     Ok(listing) => {
@@ -177,8 +231,8 @@
                     Err(e) => break e,
                 }
             };
-            self.link = None;
-            eprintln!("discovery: {error}");
+            answered = false;
+            self.failed(&error);
             driver.list_failed();
             if pushed {
                 tokio::time::sleep(PUSHED_PAUSE).await;
@@ -186,14 +240,20 @@
         }
     }
 
-    /// One call. An answer that is malformed or older than what is known is an error and changes nothing.
+    fn failed(&mut self, error: &str) {
+        self.link = None;
+        eprintln!("discovery: {error}");
+    }
+
+    /// One call. An answer that is malformed is an error and changes nothing, and so are changes that do not
+    /// follow what is known; a whole list holds whatever its version, as discovery may have begun anew.
     async fn call(&mut self) -> Result<Listing, String> {
         let patience = if self.version.is_some() { WAIT + ANSWER } else { WHOLE };
         let listing =
             timeout(patience, self.fetch()).await.map_err(|_| "no answer in time".to_string())??;
-        let stale = self.version.is_some_and(|v| listing.version < v);
-        if stale || (self.version.is_none() && !listing.full) {
-            let known = self.version.unwrap_or(0);
+        if !listing.full && self.version.is_none_or(|v| listing.version < v) {
+            // Guards against asking for ever for what follows a version that discovery no longer knows.
+            let known = self.version.take().unwrap_or(0);
             return Err(format!("version {} does not follow {known}", listing.version));
         }
         self.version = Some(listing.version);
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,10 +14,11 @@
 use oakflow::Balancer;
 use server::{Phase, Server};
 use sockets::Sockets;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -25,6 +26,7 @@
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
 /// Longest wait, after that, for what was taken: SIGKILL comes at 3.7 s at the soonest.
 const FINISHING: Duration = Duration::from_millis(3000);
+
 fn load() -> Result<Config, String> {
     let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
     let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
@@ -33,10 +35,9 @@
 
 fn main() -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let done = load().and_then(|config| {
-        let runtime = runtime.map_err(|e| e.to_string())?;
-        tokio::task::LocalSet::new().block_on(&runtime, run(config))
-    });
+    let done = runtime
+        .map_err(|e| e.to_string())
+        .and_then(|runtime| tokio::task::LocalSet::new().block_on(&runtime, run()));
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
@@ -46,11 +47,27 @@
     }
 }
 
-async fn run(config: Config) -> Result<(), String> {
+/// Follows the configuration: at each signal its file is read again. Only where discovery is can change while
+/// the program runs; a file that cannot be read changes nothing.
+async fn follow(mut hup: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hup.recv().await.is_some() {
+        match load() {
+            Ok(config) => {
+                discovery
+                    .send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
+            }
+            Err(message) => eprintln!("herondock: not reloaded: {}", message.replace('\n', " ")),
+        }
+    }
+}
+
+async fn run() -> Result<(), String> {
+    // Before anything else: a signal that is not caught ends the program.
+    let caught = |kind| signal(kind).map_err(|e| e.to_string());
+    let hup = caught(SignalKind::hangup())?;
+    let (mut term, mut int) = (caught(SignalKind::terminate())?, caught(SignalKind::interrupt())?);
     let (start, start_ms) = (Instant::now(), driver::unix_ms());
-    let Config { name, listen, discovery, seed, sockets, known, deployment } = config;
-    let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
-    let mut int = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+    let Config { name, listen, discovery, seed, sockets, known, deployment } = load()?;
     let balancer = Balancer::new(deployment.policy.clone(), seed, start_ms).map_err(|e| e.to_string())?;
     let span = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
     let budget = Sockets::new(sockets);
@@ -72,7 +89,9 @@
     let timers = handle.clone();
     let timers = tokio::task::spawn_local(async move { timers.run().await });
     handle.cached(known.as_ref());
-    let watcher = Discovery::new(discovery, Names::of(&deployment), known.as_ref().map(|k| k.version));
+    let (address_of_discovery, addresses) = watch::channel(discovery);
+    tokio::task::spawn_local(follow(hup, address_of_discovery));
+    let watcher = Discovery::new(addresses, Names::of(&deployment), known.as_ref().map(|k| k.version));
     tokio::task::spawn_local(watcher.run(handle.clone(), !deployment.policy.ask_for_list));
     let (phase, phases) = watch::channel(Phase::Up);
     let served =
