--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -3,13 +3,13 @@
 use crate::discovery::Listing;
 use crate::upstream::{Transport, Upstream};
 use bytes::Bytes;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Uri};
 use oakflow::{
     Action, Availability, Balancer, Ending, Event, Membership, Millis, Request, RequestId, UpstreamId,
 };
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
@@ -25,6 +25,8 @@
 
 /// A request as it goes on to upstreams.
 pub struct Outgoing {
+    /// The caller's id for it.
+    pub name: Option<HeaderValue>,
     /// Its method.
     pub method: Method,
     /// Path and query.
@@ -56,6 +58,15 @@
     Failed,
 }
 
+/// Why a request was not taken.
+#[derive(Debug)]
+pub enum Untaken {
+    /// As many are open as may be.
+    Full,
+    /// One with its id is open.
+    Known,
+}
+
 struct Open {
     /// Taken when the final answer is given or the client is gone.
     reply: Option<oneshot::Sender<Answer>>,
@@ -95,6 +106,8 @@
     max_open: usize,
     next_id: u32,
     open: HashMap<RequestId, Open>,
+    /// The callers' names of the requests that are open.
+    names: HashSet<HeaderValue>,
     attempts: HashMap<(RequestId, u32), Attempt>,
     /// Every upstream that the module may name: those listed, and those with attempts out.
     upstreams: HashMap<UpstreamId, (Rc<Upstream>, Availability, Millis)>,
@@ -173,6 +186,7 @@
             max_open,
             next_id: 0,
             open: HashMap::new(),
+            names: HashSet::new(),
             attempts: HashMap::new(),
             upstreams: HashMap::new(),
             timers: BTreeMap::new(),
@@ -258,13 +272,24 @@
         self.feed(Event::Membership(Membership::Failed));
     }
 
-    /// Takes a request: from now on one final answer is owed. `None`: more are open than may be.
-    pub fn take(&self, class: usize, tenant: usize, patience: Millis, out: Outgoing) -> Option<Waiting> {
+    /// Takes a request: from now on one final answer is owed.
+    pub fn take(
+        &self,
+        class: usize,
+        tenant: usize,
+        patience: Millis,
+        out: Outgoing,
+    ) -> Result<Waiting, Untaken> {
         let (reply, answer) = oneshot::channel();
         let (id, deadline) = {
             let mut d = self.0.driver.borrow_mut();
             if d.open.len() >= d.max_open {
-                return None;
+                return Err(Untaken::Full);
+            }
+            // Guards against one request's id on another while anything of the first is out: upstreams tell
+            // repeats by it.
+            if out.name.as_ref().is_some_and(|name| !d.names.insert(name.clone())) {
+                return Err(Untaken::Known);
             }
             while d.open.contains_key(&RequestId(d.next_id)) {
                 d.next_id = d.next_id.wrapping_add(1);
@@ -277,7 +302,7 @@
             (id, deadline)
         };
         self.feed(Event::Request(Request { id, class, tenant, deadline }));
-        Some(Waiting { handle: self.clone(), id, answer, done: false })
+        Ok(Waiting { handle: self.clone(), id, answer, done: false })
     }
 
     fn client_gone(&self, id: RequestId) {
@@ -420,7 +445,9 @@
     /// Forgets a request that is answered and has nothing out.
     fn forget(&mut self, id: RequestId) {
         if self.open.get(&id).is_some_and(|o| o.reply.is_none() && o.running == 0) {
-            self.open.remove(&id);
+            if let Some(name) = self.open.remove(&id).and_then(|o| o.out.name.clone()) {
+                self.names.remove(&name);
+            }
         }
     }
 
--- /dev/null
+++ b/node/src/inbound.rs
@@ -0,0 +1,265 @@
+//! A socket that stays in sight while hyper reads and writes it, and what callers' bytes tell before hyper has
+//! them: hyper drops `Content-Length` beside `Transfer-Encoding`, and does not tell of half a head.
+use std::cell::{Cell, RefCell, RefMut};
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// Largest head of a message, both ways; hyper turns away more.
+pub const HEAD_MOST: usize = 16 << 10;
+
+/// A stream with more than one holder; closed when the last one drops it.
+#[derive(Clone)]
+pub struct Shared(Rc<RefCell<TcpStream>>);
+
+impl Shared {
+    /// Shares a stream.
+    pub fn new(stream: TcpStream) -> Shared {
+        Shared(Rc::new(RefCell::new(stream)))
+    }
+
+    /// Whether the socket is open and holds nothing unread. Asks the system: the runtime learns of bytes and of
+    /// ends only when it next waits.
+    pub fn quiet(&self) -> bool {
+        let stream = self.0.borrow();
+        let peeked = socket2::SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    fn stream(&self) -> RefMut<'_, TcpStream> {
+        self.0.borrow_mut()
+    }
+}
+
+impl AsyncRead for Shared {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream()).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Shared {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.stream()).poll_write(cx, buf)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream()).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.stream()).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().is_write_vectored()
+    }
+}
+
+/// What a caller's bytes have told.
+pub struct Watch {
+    /// Whole heads read.
+    pub heads: Cell<u64>,
+    /// Of these, those that the service has been given.
+    pub given: Cell<u64>,
+    /// Whether part of a head has been read.
+    pub midway: Cell<bool>,
+    /// Since when the caller is waited for: its connection, the first byte of a head, or the last answer.
+    pub since: Cell<Instant>,
+    /// The head, by number from 1, whose body has no one end: it states its length in two ways.
+    pub ambiguous: Cell<Option<u64>>,
+}
+
+impl Watch {
+    /// Begins with the connection.
+    pub fn new() -> Rc<Watch> {
+        Rc::new(Watch {
+            heads: Cell::new(0),
+            given: Cell::new(0),
+            midway: Cell::new(false),
+            since: Cell::new(Instant::now()),
+            ambiguous: Cell::new(None),
+        })
+    }
+
+    /// Whether more has been read than the service has been given.
+    pub fn more(&self) -> bool {
+        self.midway.get() || self.heads.get() > self.given.get()
+    }
+}
+
+enum At {
+    /// Within a head, or before one.
+    Head,
+    /// Within a body with this much to come.
+    Body(u64),
+    /// Behind a head after which the connection closes, or that hyper refuses.
+    Lost,
+}
+
+/// A caller's stream, watched while it is read.
+pub struct Watched {
+    stream: Shared,
+    watch: Rc<Watch>,
+    head: Vec<u8>,
+    at: At,
+}
+
+impl Watched {
+    /// Watches a new stream.
+    pub fn new(stream: Shared, watch: Rc<Watch>) -> Watched {
+        Watched { stream, watch, head: Vec::new(), at: At::Head }
+    }
+
+    fn saw(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            match self.at {
+                At::Lost => return,
+                At::Body(left) => {
+                    let n = usize::try_from(left).unwrap_or(usize::MAX).min(bytes.len());
+                    bytes = &bytes[n..];
+                    self.at = if left > n as u64 { At::Body(left - n as u64) } else { At::Head };
+                }
+                At::Head => bytes = self.saw_head(bytes),
+            }
+        }
+        self.watch.midway.set(!self.head.is_empty());
+    }
+
+    /// Takes what belongs to the head and returns what is behind it.
+    fn saw_head<'a>(&mut self, mut bytes: &'a [u8]) -> &'a [u8] {
+        if self.head.is_empty() {
+            // Empty lines before a request are allowed.
+            let blank = bytes.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+            bytes = &bytes[blank..];
+            if !bytes.is_empty() && self.watch.given.get() > 0 {
+                self.watch.since.set(Instant::now());
+            }
+        }
+        while let Some(end) = bytes.iter().position(|&b| b == b'\n') {
+            let (line, rest) = bytes.split_at(end + 1);
+            self.head.extend_from_slice(line);
+            bytes = rest;
+            if self.head.ends_with(b"\n\r\n") || self.head.ends_with(b"\n\n") {
+                self.watch.heads.set(self.watch.heads.get() + 1);
+                self.at = framing(&self.head).unwrap_or_else(|Ambiguous| {
+                    self.watch.ambiguous.set(Some(self.watch.heads.get()));
+                    At::Lost
+                });
+                self.head = Vec::new();
+                return bytes;
+            }
+        }
+        self.head.extend_from_slice(bytes);
+        if self.head.len() > HEAD_MOST {
+            (self.head, self.at) = (Vec::new(), At::Lost);
+        }
+        &[]
+    }
+}
+
+struct Ambiguous;
+
+/// Where the bytes behind a head belong.
+fn framing(head: &[u8]) -> Result<At, Ambiguous> {
+    let (mut lengths, mut codings) = (0, 0);
+    let mut length = Some(0);
+    for line in head.split(|&b| b == b'\n') {
+        let mut parts = line.splitn(2, |&b| b == b':');
+        let (Some(name), Some(value)) = (parts.next(), parts.next()) else { continue };
+        let name = name.trim_ascii();
+        if name.eq_ignore_ascii_case(b"content-length") {
+            lengths += 1;
+            let value = std::str::from_utf8(value.trim_ascii()).ok();
+            length = value.filter(|v| v.bytes().all(|b| b.is_ascii_digit())).and_then(|v| v.parse().ok());
+        } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
+            codings += 1;
+        }
+    }
+    match (lengths, codings) {
+        (0 | 1, 0) => Ok(length.map_or(At::Lost, At::Body)),
+        (0, 1) => Ok(At::Lost),
+        _ => Err(Ambiguous),
+    }
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.saw(&buf.filled()[before..]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn kind(head: &str) -> String {
+        match framing(head.as_bytes()) {
+            Ok(At::Body(n)) => n.to_string(),
+            Ok(_) => "lost".into(),
+            Err(Ambiguous) => "ambiguous".into(),
+        }
+    }
+
+    #[test]
+    fn heads_tell_where_their_body_ends() {
+        for (headers, wanted) in [
+            ("", "0"),
+            ("Content-Length: 12\r\n", "12"),
+            ("content-length:\t7 \n", "7"),
+            ("Content-Length: -1\r\n", "lost"),
+            ("Transfer-Encoding: chunked\r\n", "lost"),
+            ("Transfer-Encoding: chunked\r\nX: y\r\nCONTENT-LENGTH: 3\r\n", "ambiguous"),
+            ("Content-Length: x\r\nTransfer-Encoding: odd\r\n", "ambiguous"),
+            ("Content-Length: 3\r\nContent-Length: 3\r\n", "ambiguous"),
+            ("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "ambiguous"),
+        ] {
+            assert_eq!(kind(&format!("POST /api HTTP/1.1\r\n{headers}\r\n")), wanted, "{headers:?}");
+        }
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod discovery;
 mod driver;
+mod inbound;
 mod server;
 mod sockets;
 mod upstream;
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,5 +1,6 @@
 //! The callers' side: takes requests whole, hands them to the driver and writes the one final answer.
-use crate::driver::{Answer, Handle, Outgoing, Waiting};
+use crate::driver::{Answer, Handle, Outgoing, Untaken, Waiting};
+use crate::inbound::{Shared, Watch, Watched, HEAD_MOST};
 use crate::sockets::{Places, Sockets};
 use crate::upstream::{end_to_end, BODY_MOST, DEADLINE};
 use bytes::Bytes;
@@ -9,7 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use oakflow::{Effect, Millis};
 use oakflow_settings::Deployment;
 use std::cell::{Cell, RefCell};
@@ -17,20 +18,31 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-/// A caller has this long for the head of a request, and for the next one on a kept connection.
-const HEAD_WAIT: Duration = Duration::from_secs(60);
-/// And this long for the body.
-const BODY_WAIT: Duration = Duration::from_secs(10);
+/// A caller has this long for a request, counted from its connection or, on a kept one, from the first byte.
+const REQUEST_WAIT: Duration = Duration::from_millis(2500);
+/// A caller that has been answered may keep its connection unused for this long.
+const IDLE_WAIT: Duration = Duration::from_secs(10);
+/// A connection that has asked for nothing yet makes way for new ones after this long.
+const NEWCOMER: Duration = Duration::from_millis(30);
+/// What a caller goes on sending after it was turned away is read for this long, and this much of it: closing
+/// on bytes unread would destroy the answer on its way.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_MOST: usize = 1 << 20;
+/// How often a connection's waits are looked at.
+const LOOK: Duration = Duration::from_secs(1);
 /// A connection that is to close, and owes no answer, has this long to take what was written.
 const FLUSH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after an accept that failed, for want of descriptors for one.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// While all callers' connections are busy, the next look for one that may be closed comes after this.
 const CROWDED_PAUSE: Duration = Duration::from_millis(10);
+/// When a caller may come again that found as many requests open as may be.
+const FULL_PAUSE: Millis = 500.0;
 /// Longest request id taken.
 const ID_MOST: usize = 256;
 const READY: &str = "/-/ready";
@@ -53,8 +65,9 @@
     deployment: Deployment,
     sockets: Sockets,
     phase: watch::Receiver<Phase>,
-    /// Connections between requests, the one that rested longest first, and how to close them.
-    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    /// Connections between requests and how to close them, those that never asked for anything first, and among
+    /// these the one that rested longest.
+    idle: RefCell<BTreeMap<(bool, u64), (Instant, Rc<Notify>)>>,
     /// Orders the connections by when they last fell idle.
     turn: Cell<u64>,
 }
@@ -71,26 +84,31 @@
         Rc::new(Server { driver, deployment, sockets, phase, idle, turn })
     }
 
-    /// Notes that a connection is between requests. Its number is to be taken out when that ends.
-    fn rests(&self, close: &Rc<Notify>) -> Option<u64> {
+    /// Notes that a connection is between requests, `used` once it has carried one. Its number is to be taken
+    /// out when that ends.
+    fn rests(&self, used: bool, close: &Rc<Notify>) -> Option<(bool, u64)> {
         self.turn.set(self.turn.get() + 1);
-        self.idle.borrow_mut().insert(self.turn.get(), close.clone());
-        Some(self.turn.get())
+        let number = (used, self.turn.get());
+        self.idle.borrow_mut().insert(number, (Instant::now(), close.clone()));
+        Some(number)
     }
 
-    fn rests_no_more(&self, number: Option<u64>) {
+    fn rests_no_more(&self, number: Option<(bool, u64)>) {
         if let Some(number) = number {
             self.idle.borrow_mut().remove(&number);
         }
     }
 
-    /// Closes the connection between requests that rested longest, if there is one.
+    /// Closes a connection between requests, if there is one. Guards against silent callers by the hundred that
+    /// would shut out those that ask: they go first, once what they may have sent had time to be read.
     fn close_one(&self) -> bool {
-        let first = self.idle.borrow_mut().pop_first();
-        first.is_some_and(|(_, close)| {
-            close.notify_one();
-            true
-        })
+        let mut idle = self.idle.borrow_mut();
+        let Some(first) = idle.first_entry() else { return false };
+        if !first.key().0 && first.get().0.elapsed() < NEWCOMER {
+            return false;
+        }
+        first.remove().1.notify_one();
+        true
     }
 
     /// Room for one more caller. Guards against idle connections that callers keep shutting others out: what is
@@ -124,7 +142,11 @@
                 Ok((stream, _)) => {
                     failing = false;
                     let Some(places) = self.room().await else { break };
-                    tokio::task::spawn_local(self.clone().connection(stream, places));
+                    // Without it answers wait for the caller's acknowledgements; where it fails the caller is gone.
+                    if stream.set_nodelay(true).is_ok() {
+                        let link = self.welcome(stream);
+                        tokio::task::spawn_local(self.clone().connection(link, places));
+                    }
                 }
                 // Out of descriptors, or a caller that left at once: no reason to end, nor to spin.
                 Err(e) => {
@@ -140,69 +162,108 @@
         self.sockets.callers_left().await;
     }
 
-    async fn connection(self: Rc<Server>, stream: TcpStream, _places: Places) {
-        // Without it answers wait for the caller's acknowledgements; where it fails the caller is gone.
-        if stream.set_nodelay(true).is_err() {
-            return;
-        }
-        let close = Rc::new(Notify::new());
-        let place = Rc::new(Cell::new(self.rests(&close)));
-        let (server, again, at) = (self.clone(), close.clone(), place.clone());
+    /// Notes a new connection, at once, so that it is the one to make way and not an older one in use.
+    fn welcome(&self, stream: TcpStream) -> Rc<Link> {
+        let link = Rc::new(Link {
+            watch: Watch::new(),
+            stream: Shared::new(stream),
+            close: Rc::new(Notify::new()),
+            place: Cell::new(None),
+            refused: Cell::new(false),
+        });
+        link.place.set(self.rests(false, &link.close));
+        link
+    }
+
+    async fn connection(self: Rc<Server>, link: Rc<Link>, _places: Places) {
+        let mut stream = link.stream.clone();
+        let (server, at) = (self.clone(), link.clone());
         let service = service_fn(move |request| {
-            let (server, close, place) = (server.clone(), again.clone(), at.clone());
+            let (server, link) = (server.clone(), at.clone());
             async move {
-                server.rests_no_more(place.take());
-                let response = server.respond(request).await;
-                place.set(server.rests(&close));
+                server.rests_no_more(link.place.take());
+                let response = server.respond(request, &link).await;
+                link.watch.since.set(Instant::now());
+                link.place.set(server.rests(true, &link.close));
                 Ok::<_, Infallible>(response)
             }
         });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_WAIT)
-            .max_buf_size(BODY_MOST)
-            .serve_connection(TokioIo::new(stream), service);
+        let io = TokioIo::new(Watched::new(stream.clone(), link.watch.clone()));
+        let connection = http1::Builder::new().max_buf_size(HEAD_MOST).serve_connection(io, service);
         let mut connection = std::pin::pin!(connection);
         let mut phase = self.phase.clone();
-        let ended = tokio::select! {
-            // A caller's broken connection or garbage ends this connection only.
-            _ = connection.as_mut() => true,
-            () = close.notified() => false,
-            _ = phase.wait_for(|p| *p == Phase::Closing) => false,
-        };
-        if !ended {
-            connection.as_mut().graceful_shutdown();
-            // Guards against callers that never read their answer, or never send a request: no hold on us.
-            while timeout(FLUSH_WAIT, connection.as_mut()).await.is_err() && place.get().is_none() {}
+        let mut closing = false;
+        loop {
+            let mut crowded = false;
+            tokio::select! {
+                // A caller's broken connection or garbage ends this connection only.
+                _ = connection.as_mut() => break,
+                // Nothing is owed, and half a request may be in the way of a graceful end.
+                () = link.overdue() => break,
+                () = link.close.notified() => crowded = true,
+                _ = phase.wait_for(|p| *p == Phase::Closing), if !closing => closing = true,
+            }
+            // What has been written whole to this connection counts as taken, also if nobody has read it yet; half
+            // a head on a connection that never asked for anything does not.
+            let half = link.watch.midway.get();
+            if crowded && half && link.watch.given.get() == 0 {
+                break;
+            }
+            if link.place.get().is_some() && !half && stream.quiet() {
+                connection.as_mut().graceful_shutdown();
+                // Guards against callers that never read their answer: no hold on us.
+                let _ = timeout(FLUSH_WAIT, connection.as_mut()).await;
+                break;
+            }
+        }
+        self.rests_no_more(link.place.take());
+        if link.refused.get() {
+            let _ = timeout(LINGER, drain(&mut stream)).await;
         }
-        self.rests_no_more(place.take());
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn respond(&self, request: Request<Incoming>, link: &Link) -> Response<Full<Bytes>> {
+        let watch = &link.watch;
+        watch.given.set(watch.given.get() + 1);
+        // Guards against requests hidden in the body of another: behind a head that states its length in two
+        // ways nothing is read, and behind chunks, whose end the watch does not follow, neither.
+        let ambiguous = watch.ambiguous.get() == Some(watch.given.get());
+        let last = ambiguous || request.headers().contains_key(header::TRANSFER_ENCODING);
         let mut response = match request.uri().path() {
+            _ if ambiguous => refuse_input(StatusCode::BAD_REQUEST, "the length is stated in two ways"),
             READY if self.driver.ready() && *self.phase.borrow() == Phase::Up => plain(StatusCode::OK),
             READY => plain(StatusCode::SERVICE_UNAVAILABLE),
-            path if path == SERVICE || path.starts_with("/api/") => match self.take(request).await {
-                Ok(waiting) => final_answer(waiting.answer().await),
-                Err(response) => response,
-            },
+            path if path == SERVICE || path.starts_with("/api/") => {
+                let due = watch.since.get() + REQUEST_WAIT;
+                match self.take(request, due).await {
+                    Ok(waiting) => final_answer(waiting.answer().await),
+                    Err(response) => response,
+                }
+            }
             _ => plain(StatusCode::NOT_FOUND),
         };
-        if *self.phase.borrow() != Phase::Up {
+        let refused = response.status().is_client_error();
+        link.refused.set(refused);
+        // At the end of the program what has been sent behind this request is still answered.
+        let leaving = *self.phase.borrow() != Phase::Up && !watch.more() && link.stream.quiet();
+        if refused || last || leaving {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
 
     /// Reads a request whole and hands it to the driver.
-    async fn take(&self, request: Request<Incoming>) -> Result<Waiting, Response<Full<Bytes>>> {
+    async fn take(&self, request: Request<Incoming>, due: Instant) -> Result<Waiting, Response<Full<Bytes>>> {
         let (head, body) = request.into_parts();
         let bad = |what: &str| refuse_input(StatusCode::BAD_REQUEST, what);
         let (class, tenant, patience) = self.classify(&head.method, &head.headers).map_err(bad)?;
         if body.size_hint().lower() > BODY_MOST as u64 {
             return Err(refuse_input(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
         }
-        let body = match timeout(BODY_WAIT, Limited::new(body, BODY_MOST).collect()).await {
+        if head.method == Method::GET && !body.is_end_stream() {
+            return Err(bad("GET has no body"));
+        }
+        let body = match timeout_at(due, Limited::new(body, BODY_MOST).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) if e.is::<LengthLimitError>() => {
                 return Err(refuse_input(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
@@ -214,9 +275,12 @@
         end_to_end(&mut headers);
         headers.remove(&DEADLINE);
         let target = head.uri.path_and_query().map(|p| Uri::from(p.clone())).unwrap_or_default();
-        let out = Outgoing { method: head.method, target, headers, body, over: Cell::new(false) };
-        let full = || final_answer(Answer::Refused { retry_after: 0.0 });
-        self.driver.take(class, tenant, patience, out).ok_or_else(full)
+        let name = headers.get("req-id").cloned();
+        let out = Outgoing { name, method: head.method, target, headers, body, over: Cell::new(false) };
+        self.driver.take(class, tenant, patience, out).map_err(|untaken| match untaken {
+            Untaken::Full => final_answer(Answer::Refused { retry_after: FULL_PAUSE }),
+            Untaken::Known => refuse_input(StatusCode::CONFLICT, "a request with this Req-Id is open"),
+        })
     }
 
     /// Class, tenant and patience of a request, or what is wrong with its head.
@@ -254,6 +318,48 @@
     }
 }
 
+/// One caller's connection, as its task and its requests see it.
+struct Link {
+    watch: Rc<Watch>,
+    stream: Shared,
+    /// Told when it is to make way for another.
+    close: Rc<Notify>,
+    /// Its number while it is between requests.
+    place: Cell<Option<(bool, u64)>>,
+    /// Whether its last answer turned bad input away.
+    refused: Cell<bool>,
+}
+
+impl Link {
+    /// Returns once the caller has been waited for long enough.
+    async fn overdue(&self) {
+        let watch = &self.watch;
+        loop {
+            let now = Instant::now();
+            let waiting = self.place.get().is_some();
+            let most = if watch.given.get() > 0 && !watch.midway.get() { IDLE_WAIT } else { REQUEST_WAIT };
+            let due = watch.since.get() + most;
+            if waiting && now >= due {
+                return;
+            }
+            // Half a head may come at any time, so that the next look is never far.
+            sleep_until(if waiting { due.min(now + LOOK) } else { now + LOOK }).await;
+        }
+    }
+}
+
+/// Reads what still comes, to throw it away.
+async fn drain(stream: &mut Shared) {
+    let mut most = LINGER_MOST;
+    let mut buffer = vec![0; HEAD_MOST];
+    while most > 0 {
+        match stream.read(&mut buffer).await {
+            Ok(n) if n > 0 => most = most.saturating_sub(n),
+            _ => return,
+        }
+    }
+}
+
 /// A span of time as callers write it: a number and `m` for milliseconds or `u` for microseconds.
 fn span(text: &str) -> Option<Millis> {
     let text = text.trim();
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -1,14 +1,17 @@
 //! Attempts: one request to one upstream, once; and the connections that are kept for the next.
 use crate::driver::{Answer, Outgoing};
+use crate::inbound::{Shared, HEAD_MOST};
 use crate::sockets::Sockets;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use oakflow::Ending;
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -58,6 +61,7 @@
 /// One open connection; closed when dropped.
 struct Conn {
     sender: http1::SendRequest<Full<Bytes>>,
+    socket: Shared,
     task: AbortHandle,
     _permit: OwnedSemaphorePermit,
 }
@@ -68,6 +72,14 @@
     }
 }
 
+impl Conn {
+    /// Whether it can carry a request. Guards against requests written to one that the other side has closed,
+    /// and against reading what came behind an answer, a second copy or noise, as the answer to the next.
+    fn clean(&self) -> bool {
+        self.sender.is_ready() && self.socket.quiet()
+    }
+}
+
 struct Idle {
     conn: Conn,
     since: Instant,
@@ -116,7 +128,7 @@
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         while let Some(i) = idle.pop() {
-            if i.conn.sender.is_ready() && now - i.since < most {
+            if now - i.since < most && i.conn.clean() {
                 return Some(i.conn);
             }
         }
@@ -146,18 +158,22 @@
         Transport { dial_timeout, idle, sockets }
     }
 
-    async fn dial(&self, addr: SocketAddr, until: Instant) -> Option<Conn> {
-        let permit = self.sockets.upstream()?;
+    async fn dial(&self, addr: SocketAddr, until: Instant) -> Result<Conn, Ending> {
+        // Guards against blaming an upstream for a shortage of our own.
+        let permit = self.sockets.upstream().ok_or(Ending::Moot)?;
         let until = until.min(Instant::now() + self.dial_timeout);
-        let stream = timeout_at(until, TcpStream::connect(addr)).await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
-        let (sender, conn) =
-            http1::Builder::new().max_buf_size(BODY_MOST).handshake(TokioIo::new(stream)).await.ok()?;
+        let dialled = timeout_at(until, TcpStream::connect(addr)).await.map_err(|_| Ending::ConnectFailed)?;
+        let stream = dialled.map_err(|e| if short(&e) { Ending::Moot } else { Ending::ConnectFailed })?;
+        stream.set_nodelay(true).map_err(|_| Ending::ConnectFailed)?;
+        let socket = Shared::new(stream);
+        let io = TokioIo::new(socket.clone());
+        let made = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(io).await;
+        let (sender, conn) = made.map_err(|_| Ending::ConnectFailed)?;
         let task = tokio::task::spawn_local(async move {
             // How the connection ended shows in the attempt that was on it.
             let _ = conn.await;
         });
-        Some(Conn { sender, task: task.abort_handle(), _permit: permit })
+        Ok(Conn { sender, socket, task: task.abort_handle(), _permit: permit })
     }
 
     /// Carries one attempt out: its request is written once at most. Dropping the future closes the connection.
@@ -175,8 +191,8 @@
             let (mut conn, reused) = match to.take(self.idle) {
                 Some(conn) => (conn, true),
                 None => match self.dial(to.addr.get(), until).await {
-                    Some(conn) => (conn, false),
-                    None => return (Ending::ConnectFailed, None),
+                    Ok(conn) => (conn, false),
+                    Err(ending) => return (ending, None),
                 },
             };
             let now = Instant::now();
@@ -200,12 +216,15 @@
                 },
             }
         };
+        if !has_an_end(&answer) || answer.body().size_hint().lower() > BODY_MOST as u64 {
+            return (Ending::Reset, None);
+        }
         let ending = ending(&answer);
         let (head, body) = answer.into_parts();
         let Ok(body) = Limited::new(body, BODY_MOST).collect().await else { return (Ending::Reset, None) };
         // Back before the outcome is told: what the module sends next may go on this connection.
         if let Ok(Ok(())) = timeout(SETTLE, conn.sender.ready()).await {
-            if !to.closed(Instant::now()) {
+            if !to.closed(Instant::now()) && conn.clean() {
                 to.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
             }
         }
@@ -218,6 +237,23 @@
     }
 }
 
+/// Whether a connection was not made for want of something on this machine.
+fn short(e: &io::Error) -> bool {
+    // ENFILE, EMFILE, EADDRNOTAVAIL and ENOBUFS of Linux.
+    matches!(e.raw_os_error(), Some(23 | 24 | 99 | 105))
+}
+
+/// Whether it is certain where an answer ends: it states its length once, in one way. One that ends with its
+/// connection may be cut short, and one with two framings may be read otherwise than it was meant.
+fn has_an_end<B>(answer: &Response<B>) -> bool {
+    let all = |name| answer.headers().get_all(name).iter().collect::<Vec<_>>();
+    match (&all(header::TRANSFER_ENCODING)[..], &all(header::CONTENT_LENGTH)[..]) {
+        ([], [length]) => length.as_bytes().iter().all(u8::is_ascii_digit),
+        ([coding], []) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+        _ => false,
+    }
+}
+
 /// What an answer says. Only a mark that the request was turned away proves that it never ran.
 fn ending<B>(answer: &Response<B>) -> Ending {
     let declined = answer.headers().get(DECLINED).is_some_and(|v| v == "1");
@@ -238,3 +274,79 @@
         Ok(request)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hyper::{Method, Uri};
+    use std::io::{Read, Write};
+    use std::net::TcpListener;
+    use tokio::task::LocalSet;
+
+    fn transport(sockets: Sockets) -> Transport {
+        Transport::new(Duration::from_secs(5), Duration::from_secs(60), sockets)
+    }
+
+    fn alone(test: impl std::future::Future<Output = ()>) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, test);
+    }
+
+    /// Guards against requests written to a connection of which the system knows, and the runtime not yet, that
+    /// it is closed or holds more than the last answer: nothing between that and the next request yields.
+    #[test]
+    fn a_connection_with_something_unread_is_not_used_again() {
+        alone(async {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+            let addr = listener.local_addr().expect("an address");
+            let transport = transport(Sockets::new(64));
+            let rested = |extra: Option<&'static [u8]>| {
+                let (transport, listener) = (transport.clone(), listener.try_clone().expect("a listener"));
+                async move {
+                    let until = Instant::now() + Duration::from_secs(5);
+                    let mut conn = transport.dial(addr, until).await.expect("connects");
+                    let (mut peer, _) = listener.accept().expect("accepts");
+                    conn.sender.ready().await.expect("it is open");
+                    let upstream = Upstream::new(addr);
+                    upstream.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
+                    match extra {
+                        Some(extra) => peer.write_all(extra).expect("writes"),
+                        None => drop(peer.shutdown(std::net::Shutdown::Both)),
+                    }
+                    let taken = upstream.take(Duration::from_secs(60)).is_some();
+                    drop(peer);
+                    taken
+                }
+            };
+            assert!(rested(Some(b"")).await, "one that rests is used");
+            assert!(!rested(Some(b"x")).await, "one with noise is not");
+            assert!(!rested(None).await, "nor one that is closed");
+        });
+    }
+
+    /// Guards against blaming an upstream for our own want of descriptors: nothing was tried.
+    #[test]
+    fn a_shortage_of_our_own_is_no_failure_of_the_upstream() {
+        alone(async {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+            let sockets = Sockets::new(64);
+            let all: Vec<_> = std::iter::from_fn(|| sockets.upstream()).collect();
+            let out = Outgoing {
+                name: None,
+                method: Method::GET,
+                target: Uri::from_static("/api"),
+                headers: HeaderMap::new(),
+                body: Bytes::new(),
+                over: Cell::new(false),
+            };
+            let to = Upstream::new(listener.local_addr().expect("an address"));
+            let until = Instant::now() + Duration::from_secs(5);
+            let (ending, _) = transport(sockets).attempt(to, Rc::new(out), until).await;
+            assert_eq!(ending, Ending::Moot);
+            drop(all);
+            listener.set_nonblocking(true).expect("a listener");
+            let nobody = listener.accept().map(|(mut s, _)| s.read(&mut [0]));
+            assert!(nobody.is_err(), "nothing was connected");
+        });
+    }
+}
--- /dev/null
+++ b/node/tests/callers.rs
@@ -0,0 +1,154 @@
+//! Callers that send what can't be used, too much, or nothing: each test stands for one way to fail in service.
+mod common;
+use common::*;
+use std::sync::mpsc::channel;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// What must be turned away within 3 s, with some room for slow machines; without the limit it was 10 s or more.
+const SOON: Duration = Duration::from_secs(6);
+
+#[test]
+fn silent_callers_and_halves_of_requests_are_not_kept() {
+    let node = Node::with(&[Upstream::start(|_| ok("x")).addr]);
+    let started = Instant::now();
+    let half_body = pay("r1", "15000m").replace("body", "b");
+    let half_head = get("r2", "15000m").replace("\r\n\r\n", "\r\n");
+    let mut silent = node.client();
+    let mut halves: Vec<Client> = [half_body, half_head].iter().map(|t| node.client_that_sent(t)).collect();
+    // On a connection that has been in use, half a request is not taken for a rest between two.
+    let mut used = node.client();
+    assert_eq!(used.call(&get("r3", "15000m")).status(), 200);
+    used.send("GET /api");
+    assert_eq!(halves[0].answer().expect("an answer").status(), 408);
+    assert!(halves[0].answer().is_none() && halves[1].answer().is_none());
+    assert!(silent.answer().is_none() && used.answer().is_none());
+    assert!(started.elapsed() < SOON, "{:?}", started.elapsed());
+}
+
+#[test]
+fn a_request_with_two_framings_is_turned_away_with_what_it_hides() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let node = Node::with(&[upstream.addr]);
+    let hidden = get("hidden", "5000m");
+    let chunks = "4\r\nbody\r\n0\r\n\r\n";
+    for framing in [
+        "Content-Length: 4\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4",
+        "Transfer-Encoding: chunked\r\nX-A: b\r\ncontent-length: 14\r\nContent-Length: 14",
+        "Content-Length: 4\r\nContent-Length: 4",
+    ] {
+        let head = pay("r1", "5000m").replace("Content-Length: 4\r\n\r\nbody", &format!("{framing}\r\n\r\n"));
+        let mut client = node.client_that_sent(&format!("{head}{chunks}{hidden}"));
+        assert_eq!(client.answer().expect("an answer").status(), 400, "{framing:?}");
+        assert!(client.answer().is_none(), "nothing is read behind it");
+    }
+    // Chunks alone are fine, and the last request of their connection.
+    let head =
+        pay("r2", "5000m").replace("Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n");
+    let mut client = node.client_that_sent(&format!("{head}{chunks}{hidden}"));
+    let answer = client.answer().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(client.answer().is_none());
+    assert_eq!(upstream.request().header("req-id"), Some("r2"));
+    assert_eq!(upstream.further(), 0);
+}
+
+#[test]
+fn nothing_is_read_behind_what_was_turned_away() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let node = Node::with(&[upstream.addr]);
+    let behind = get("behind", "5000m");
+    let long = format!("X-Long: {}\r\n\r\n", "x".repeat(40 << 10));
+    let with_body = get("r1", "5000m").replace("\r\n\r\n", "\r\nContent-Length: 4\r\n\r\nbody");
+    for (bad, status) in [
+        (get("r1", "soon"), 400),
+        (get("r1", "5000m").replace("Req-Id: r1\r\n", ""), 400),
+        (with_body, 400),
+        (get("r1", "5000m").replace("\r\n\r\n", &format!("\r\n{long}")), 431),
+        (pay("r1", "5000m").replace("Content-Length: 4", "Content-Length: -4"), 400),
+        (pay("r1", "5000m").replace("Content-Length: 4", "Content-Length: 70000000"), 413),
+    ] {
+        let mut client = node.client_that_sent(&format!("{bad}{behind}"));
+        let answer = client.answer().expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (status, Some("close")), "{bad:.300}");
+        assert!(client.answer().is_none(), "{bad:.300}");
+    }
+    assert_eq!(node.client().call(&get("good", "5000m")).status(), 200);
+    assert_eq!(upstream.request().header("req-id"), Some("good"));
+    assert_eq!(upstream.further(), 0);
+}
+
+#[test]
+fn the_id_of_an_open_request_is_not_taken_twice() {
+    let (go, held) = channel();
+    let held = Mutex::new(Some(held));
+    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    let upstream = Upstream::start(move |_| match held.lock().expect("no panic").take() {
+        Some(word) => Then::Hold(word, answer.into()),
+        None => ok("later"),
+    });
+    let node = Node::with(&[upstream.addr]);
+    let mut first = node.client_that_sent(&pay("r1", "15000m"));
+    upstream.request();
+    assert_eq!(node.client().call(&pay("r1", "15000m")).status(), 409);
+    go.send(()).expect("the upstream waits");
+    assert_eq!(first.answer().expect("an answer").body, b"first");
+    // Once it is over its name is free: nothing is kept of it.
+    assert_eq!(node.client().call(&pay("r1", "15000m")).body, b"later");
+    assert_eq!(upstream.further(), 1);
+}
+
+#[test]
+fn silent_callers_by_the_hundred_do_not_shut_out_good_ones() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let known = listing(1, true, &[(0, upstream.addr, "active")]);
+    let node = Node::start(64, &known);
+    let mut kept = node.client();
+    assert_eq!(kept.call(&get("r0", "10000m")).status(), 200);
+    // More than there are places: those that came first and asked for nothing make way.
+    let silent: Vec<Client> = (0..200).map(|_| node.client()).collect();
+    for i in 1..5 {
+        assert_eq!(node.client().call(&get(&format!("n{i}"), "10000m")).status(), 200);
+    }
+    assert_eq!(kept.call(&get("r1", "10000m")).status(), 200, "a caller that was served keeps its place");
+    drop(silent);
+}
+
+#[test]
+fn where_no_more_may_be_open_the_refusal_says_when_to_return() {
+    let upstream = Upstream::start(|_| Then::Wait);
+    let known = listing(1, true, &[(0, upstream.addr, "active")]);
+    let discovery = Discovery::start();
+    let one = config(discovery.addr, 1024, &known).replace("\"cancel\"", "\"max_open\":1,\"cancel\"");
+    let node = Node::run(command(&one), discovery);
+    let _first = node.client_that_sent(&get("r1", "15000m"));
+    upstream.request();
+    let answer = node.client().call(&get("r2", "15000m"));
+    assert_eq!(answer.status(), 503);
+    let after: f64 = answer.header("retry-after").expect("advice").parse().expect("seconds");
+    assert!(after > 0.0 && after <= 2.0, "{after}");
+}
+
+#[test]
+fn told_to_end_it_answers_what_was_sent_behind_a_request() {
+    let (go, held) = channel();
+    let held = Mutex::new(Some(held));
+    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    let upstream = Upstream::start(move |_| match held.lock().expect("no panic").take() {
+        Some(word) => Then::Hold(word, answer.into()),
+        None => ok("later"),
+    });
+    let mut node = Node::with(&[upstream.addr]);
+    let second = get("r2", "15000m");
+    let (start, rest) = second.split_at(40);
+    let mut client = node.client_that_sent(&format!("{}{start}", get("r1", "15000m")));
+    upstream.request();
+    node.terminate();
+    node.logs("told to end");
+    client.send(rest);
+    go.send(()).expect("the upstream waits");
+    assert_eq!(client.answer().expect("an answer").body, b"first");
+    assert_eq!(client.answer().expect("an answer to the one behind").body, b"later");
+    assert!(node.wait().success());
+}
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -411,6 +411,13 @@
         self.try_client().expect("connects")
     }
 
+    /// A client that has sent this and not yet read an answer.
+    pub fn client_that_sent(&self, text: &str) -> Client {
+        let mut client = self.client();
+        client.send(text);
+        client
+    }
+
     /// `None`: it does not listen any more.
     pub fn try_client(&self) -> Option<Client> {
         let stream = TcpStream::connect(self.addr).ok()?;
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -60,6 +60,9 @@
         ("/api/x", "/apix", 404),
     ] {
         assert_eq!(client.call(&good.replace(from, to)).status(), status, "{to:?} for {from:?}");
+        // Nothing more is read behind it.
+        assert!(client.answer().is_none());
+        client = node.client();
     }
     let mut large = node.client();
     let head = pay("r2", "5000m").replace("Content-Length: 4\r\n\r\nbody", "Content-Length: 65537\r\n\r\n");
