--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -59,6 +59,9 @@
     Closing,
 }
 
+/// A connection between requests: whether it has carried one, and its turn.
+type Place = (bool, u64);
+
 /// What every connection needs.
 pub struct Server {
     driver: Handle,
@@ -67,7 +70,7 @@
     phase: watch::Receiver<Phase>,
     /// Connections between requests and how to close them, those that never asked for anything first, and among
     /// these the one that rested longest.
-    idle: RefCell<BTreeMap<(bool, u64), (Instant, Rc<Notify>)>>,
+    idle: RefCell<BTreeMap<Place, (Instant, Rc<Notify>)>>,
     /// Orders the connections by when they last fell idle.
     turn: Cell<u64>,
 }
@@ -86,14 +89,14 @@
 
     /// Notes that a connection is between requests, `used` once it has carried one. Its number is to be taken
     /// out when that ends.
-    fn rests(&self, used: bool, close: &Rc<Notify>) -> Option<(bool, u64)> {
+    fn rests(&self, used: bool, close: &Rc<Notify>) -> Option<Place> {
         self.turn.set(self.turn.get() + 1);
         let number = (used, self.turn.get());
         self.idle.borrow_mut().insert(number, (Instant::now(), close.clone()));
         Some(number)
     }
 
-    fn rests_no_more(&self, number: Option<(bool, u64)>) {
+    fn rests_no_more(&self, number: Option<Place>) {
         if let Some(number) = number {
             self.idle.borrow_mut().remove(&number);
         }
@@ -325,7 +328,7 @@
     /// Told when it is to make way for another.
     close: Rc<Notify>,
     /// Its number while it is between requests.
-    place: Cell<Option<(bool, u64)>>,
+    place: Cell<Option<Place>>,
     /// Whether its last answer turned bad input away.
     refused: Cell<bool>,
 }
