--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -4,7 +4,7 @@
 use crate::upstream::{Transport, Upstream};
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Method, Uri};
+use hyper::{Method, StatusCode, Uri};
 use oakflow::{
     Action, Availability, Balancer, Ending, Event, Membership, Millis, Request, RequestId, UpstreamId,
 };
@@ -54,6 +54,8 @@
         /// How long the client should stay away; zero: no advice.
         retry_after: Millis,
     },
+    /// Turned away by the upstream as something it can't use.
+    Unusable(StatusCode),
     /// Failed, with no promise about its effect.
     Failed,
 }
@@ -104,6 +106,8 @@
     transport: Transport,
     drain_grace: Duration,
     max_open: usize,
+    /// Every request has its answer by then.
+    last: Millis,
     next_id: u32,
     open: HashMap<RequestId, Open>,
     /// The callers' names of the requests that are open.
@@ -184,6 +188,7 @@
             transport,
             drain_grace,
             max_open,
+            last: f64::INFINITY,
             next_id: 0,
             open: HashMap::new(),
             names: HashSet::new(),
@@ -240,6 +245,28 @@
         self.0.driver.borrow().open.values().filter(|o| o.reply.is_some()).count()
     }
 
+    /// Requests that are taken from now on have their answer after this time at the latest.
+    pub fn ends_by(&self, time: Duration) {
+        let mut d = self.0.driver.borrow_mut();
+        d.last = d.now() + time.as_secs_f64() * 1000.0;
+    }
+
+    /// Ends every request that is open: no answer of its own comes in time. It may have run.
+    pub fn fail_open(&self) {
+        let open: Vec<RequestId> = {
+            let mut d = self.0.driver.borrow_mut();
+            let open = d.open.iter_mut().filter_map(|(&id, o)| {
+                // A client that left in the same instant gets nothing; it is no longer owed anything.
+                o.end().map(|reply| drop(reply.send(Answer::Failed))).map(|()| id)
+            });
+            open.collect()
+        };
+        for id in open {
+            self.0.driver.borrow_mut().forget(id);
+            self.feed(Event::ClientGone(id));
+        }
+    }
+
     /// Closes an idle connection to an upstream, if there is one: its socket is needed elsewhere.
     pub fn free_socket(&self) {
         self.0.driver.borrow_mut().free_socket();
@@ -296,7 +323,7 @@
             }
             let id = RequestId(d.next_id);
             d.next_id = d.next_id.wrapping_add(1);
-            let deadline = d.now() + (patience - ANSWER_MARGIN).max(0.0);
+            let deadline = (d.now() + (patience - ANSWER_MARGIN).max(0.0)).min(d.last);
             let open = Open { reply: Some(reply), out: Rc::new(out), deadline, sends: 0, running: 0 };
             d.open.insert(id, open);
             (id, deadline)
@@ -489,7 +516,7 @@
             let (upstream, availability, since) = self.upstreams.entry(m.id).or_insert_with(fresh);
             // Another address or another start: the old connections lead nowhere.
             if upstream.addr.replace(entry.addr) != entry.addr || *since != m.since {
-                upstream.close_idle();
+                upstream.replaced();
             }
             (*availability, *since) = (m.availability, m.since);
             match m.availability {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -25,8 +25,13 @@
 
 /// New connections go on coming for this long after SIGTERM, with some room.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
-/// Longest wait, after that, for what was taken: SIGKILL comes at 3.7 s at the soonest.
-const FINISHING: Duration = Duration::from_millis(3000);
+/// Kept connections are served for this long after SIGTERM. Guards against callers that find no other balancer:
+/// closed sooner, they would have to connect to one that may be starting again itself.
+const STILL_SERVING: Duration = Duration::from_millis(2400);
+/// What is open then, or taken after SIGTERM, is answered by then: SIGKILL comes 3.7 s after it at the soonest.
+const LAST_ANSWER: Duration = Duration::from_millis(3500);
+/// And the program ends by then.
+const LAST: Duration = Duration::from_millis(3650);
 
 fn load() -> Result<Config, String> {
     let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
@@ -97,6 +102,7 @@
     let (phase, phases) = watch::channel(Phase::Up);
     let served =
         tokio::task::spawn_local(Server::new(handle.clone(), deployment, budget, phases).run(listener));
+    let open = handle.clone();
     eprintln!("{name}: serving on {address}");
 
     tokio::select! {
@@ -106,11 +112,26 @@
         end = timers => return Err(format!("the timers stopped: {end:?}")),
     }
     eprintln!("{name}: told to end");
-    phase.send_replace(Phase::Leaving);
-    tokio::time::sleep(STILL_ACCEPTING).await;
-    phase.send_replace(Phase::Closing);
-    if tokio::time::timeout(FINISHING, served).await.is_err() {
-        eprintln!("{name}: callers are still connected at the end, {} requests unanswered", handle.open());
+    let told = Instant::now();
+    handle.ends_by(LAST_ANSWER);
+    for (after, next) in [
+        (Duration::ZERO, Phase::Leaving),
+        (STILL_ACCEPTING, Phase::Draining),
+        (STILL_SERVING, Phase::Closing),
+    ] {
+        tokio::time::sleep_until(told + after).await;
+        phase.send_replace(next);
+    }
+    let served = async move {
+        tokio::pin!(served);
+        tokio::select! {
+            done = &mut served => return done,
+            () = tokio::time::sleep_until(told + LAST_ANSWER) => handle.fail_open(),
+        }
+        served.await
+    };
+    if tokio::time::timeout_at(told + LAST, served).await.is_err() {
+        eprintln!("{name}: callers are still connected at the end, {} requests unanswered", open.open());
     }
     Ok(())
 }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -53,9 +53,11 @@
 pub enum Phase {
     /// Serving.
     Up,
-    /// Told to end: new connections are still accepted, kept ones end with their next answer.
+    /// Told to end: new connections are still accepted, and kept ones go on being served.
     Leaving,
-    /// Nothing new is accepted, and connections between requests are closed.
+    /// No connection is accepted any more; those that there are go on being served.
+    Draining,
+    /// Connections end with their next answer, and those between requests are closed.
     Closing,
 }
 
@@ -139,7 +141,7 @@
                 biased;
                 accepted = listener.accept() => accepted,
                 // Only once nobody waits to be accepted: what they have written counts as taken.
-                _ = phase.wait_for(|p| *p == Phase::Closing) => break,
+                _ = phase.wait_for(|p| *p >= Phase::Draining) => break,
             };
             match accepted {
                 Ok((stream, _)) => {
@@ -248,7 +250,7 @@
         let refused = response.status().is_client_error();
         link.refused.set(refused);
         // At the end of the program what has been sent behind this request is still answered.
-        let leaving = *self.phase.borrow() != Phase::Up && !watch.more() && link.stream.quiet();
+        let leaving = *self.phase.borrow() == Phase::Closing && !watch.more() && link.stream.quiet();
         if refused || last || leaving {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
@@ -405,6 +407,7 @@
             }
             response
         }
+        Answer::Unusable(status) => refuse_input(status, "turned away by the service"),
         Answer::Failed => plain(StatusCode::BAD_GATEWAY),
     }
 }
--- a/node/tests/upstreams.rs
+++ b/node/tests/upstreams.rs
@@ -62,3 +62,19 @@
         assert_eq!(client.call(&pay(id, "15000m")).body, b"one");
     }
 }
+
+#[test]
+fn what_an_upstream_cannot_use_is_the_callers_fault() {
+    let upstream = Upstream::start(|m| match m.header("req-id") {
+        Some("odd") => status("404 Not Found"),
+        _ => ok("good"),
+    });
+    let node = Node::with(&[upstream.addr]);
+    let mut client = node.client();
+    // It is not sent again, though it may be repeated, and its caller is told.
+    assert_eq!(client.call(&get("odd", "15000m")).status(), 404);
+    assert_eq!(node.client().call(&get("next", "15000m")).body, b"good");
+    assert_eq!(upstream.request().header("req-id"), Some("odd"));
+    assert_eq!(upstream.request().header("req-id"), Some("next"));
+    assert_eq!(upstream.further(), 0);
+}
