--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -29,6 +29,10 @@
 const IDLE_WAIT: Duration = Duration::from_secs(10);
 /// A connection that has asked for nothing yet makes way for new ones after this long.
 const NEWCOMER: Duration = Duration::from_millis(30);
+/// Or, while none that was used has rested for [`RESTED`], after this long.
+const NEWCOMER_LEAST: Duration = Duration::from_millis(5);
+/// A connection that was used makes way before young newcomers after this long.
+const RESTED: Duration = Duration::from_secs(2);
 /// What a caller goes on sending after it was turned away is read for this long, and this much of it: closing
 /// on bytes unread would destroy the answer on its way.
 const LINGER: Duration = Duration::from_millis(500);
@@ -105,15 +109,24 @@
     }
 
     /// Closes a connection between requests, if there is one. Guards against silent callers by the hundred that
-    /// would shut out those that ask: they go first, once what they may have sent had time to be read.
+    /// would shut out those that ask: they go first, once what they may have sent had time to be read. And against
+    /// waiting for that time while connections rest that nobody has used for long.
     fn close_one(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let Some(first) = idle.first_entry() else { return false };
-        if !first.key().0 && first.get().0.elapsed() < NEWCOMER {
-            return false;
-        }
-        first.remove().1.notify_one();
-        true
+        let first =
+            |used| idle.range((used, 0)..=(used, u64::MAX)).next().map(|(&n, at)| (n, at.0.elapsed()));
+        let (newcomer, kept) = (first(false), first(true));
+        let chosen = match (newcomer, kept) {
+            (Some((n, age)), _) if age >= NEWCOMER => n,
+            (_, Some((n, rested))) if rested >= RESTED => n,
+            (Some((n, age)), _) if age >= NEWCOMER_LEAST => n,
+            (None, Some((n, _))) => n,
+            _ => return false,
+        };
+        idle.remove(&chosen).is_some_and(|(_, close)| {
+            close.notify_one();
+            true
+        })
     }
 
     /// Room for one more caller. Guards against idle connections that callers keep shutting others out: what is
