--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,7 +1,7 @@
 //! Every decision of the balancer. The types it speaks in are in `src/interface.rs`.
 //!
-//! Ordinary path of a request: count it as its tenant's demand; admit it when its tenant is within its limit or
-//! the cycle's capacity is not used up, refuse it otherwise; send it to the less busy of two random ready
+//! Ordinary path of a request: count it as its tenant's demand; admit it when its tenant is within its limit
+//! or the cycle's capacity is not used up, refuse it otherwise; send it to the less busy of two random ready
 //! upstreams by our own calls in flight. Everything else is an exception, and says what it guards against.
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
