--- a/src/policy.rs
+++ b/src/policy.rs
@@ -55,6 +55,8 @@
 /// An upstream is ejected when its failures exceed this and this multiple of the whole list's.
 const EJECT_AT: f64 = 0.4;
 const EJECT_RATIO: f64 = 2.0;
+/// One in this many is ejected at once: chance failures of all alike would jam the few that are left.
+const EJECT_PART: usize = 3;
 /// First ejection lasts this long, each further one as much longer, up to the most.
 const EJECT_BASE: Millis = 2000.0;
 const EJECT_MOST: Millis = 16_000.0;
@@ -537,6 +539,8 @@
         if !cut && ending != Ending::Moot {
             self.heard(rest, lost);
         }
+        let out = self.by_id.values().filter(|&&k| now < self.slots[k].ejected_until).count();
+        let most = (self.ready.0 / EJECT_PART).max(1);
         let u = &mut self.slots[i];
         u.rested_from = if u.inflight >= u.connections { now } else { u.rested_from };
         // A connection whose call got no answer does not come back for another.
@@ -547,9 +551,7 @@
             return false;
         }
         let failed = ending != Ending::Ok;
-        if ending != Ending::Timeout {
-            u.silent_since = now;
-        }
+        u.silent_since = if ending == Ending::Timeout { u.silent_since } else { now };
         let took = if failed { duration.max(2.0 * self.latency) } else { duration };
         u.slowness += ANSWER_GAIN * (took / self.latency.max(1.0) - u.slowness);
         if ending == Ending::Ok {
@@ -559,17 +561,15 @@
         let bad = f64::from(u8::from(failed));
         u.fails += FAIL_GAIN * (bad - u.fails);
         u.outcomes += 1;
-        if hung {
-            // It takes work and answers nothing, while others answer: no need to wait for more time-outs.
-            u.fails = 1.0;
-        }
+        // It takes work and answers nothing, while others answer: no need to wait for more time-outs.
+        u.fails = if hung { 1.0 } else { u.fails };
         // The fleet's figure counts all: where most fail, it is no fault of each one's own.
         self.fails += 0.02 * (bad - self.fails);
         let own = u.fails > EJECT_AT && u.fails > EJECT_RATIO * self.fails;
         if !failed && now >= u.ejected_until && u.fails < EJECT_AT / 2.0 {
             u.ejections = 0;
         }
-        if failed && own && (hung || u.outcomes >= 3) && now >= u.ejected_until {
+        if failed && own && (hung || u.outcomes >= 3) && now >= u.ejected_until && out < most {
             // A server that fails fast holds few calls and would win every comparison: take it out.
             let length = (EJECT_BASE * f64::from(u.ejections + 1)).min(EJECT_MOST);
             u.ejected_until = now + length * (0.75 + 0.5 * unit(rng));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -417,3 +417,17 @@
     }
     assert!(!w.log.iter().any(|a| matches!(a, Action::CloseIdle(_))));
 }
+
+/// Answers of all upstreams alike came spoilt now and then: two or three of four were ejected by chance, and those
+/// that were left jammed under the load of all.
+#[test]
+fn chance_failures_leave_most_upstreams_in_use() {
+    let mut w = world(shared(&[1.0]), 4);
+    w.traffic(5000.0, 60.0, &[0], &fast);
+    w.traffic(300.0, 60.0, &[0], &|id| Some((if id.0 < 4 { Ending::Reset } else { Ending::Ok }, 50.0)));
+    w.pass(100.0);
+    let from = w.now;
+    w.traffic(1000.0, 60.0, &[0], &fast);
+    let (sent, to) = w.sent_since(from);
+    assert!(to.len() >= 3, "one of four may be ejected: {sent} calls went to {to:?}");
+}
