--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,6 +46,8 @@
 const INFLIGHT_MOST: f64 = 2.2;
 /// Growth per cycle of what counts as the unloaded answer time, which is the least mean seen of late.
 const UNLOADED_UP: f64 = 0.02;
+/// Part of answers in time from which it may grow.
+const UNLOADED_AT: f64 = 0.92;
 /// Capacity stays within this multiple of the peak of what was lately admitted, of which this much is kept
 /// each cycle: more is untested. A mean in place of the peak would refuse the chance bursts of tiny counts.
 const CAPACITY_ROOM: f64 = 2.0;
@@ -226,9 +228,10 @@
         true
     }
 
-    /// The unloaded answer time is the least mean of late, let up only while most answers are in time.
+    /// The unloaded answer time is the least mean of late, let up only while nearly all answers are in time: in a
+    /// jam it would let more calls in, and crowded servers never get the rest that they recover by.
     fn note_latency(&mut self, latency: Millis) {
-        let up = if self.success < SUCCESS_WANTED { 1.0 } else { 1.0 + UNLOADED_UP };
+        let up = if self.success < UNLOADED_AT { 1.0 } else { 1.0 + UNLOADED_UP };
         self.unloaded = (self.unloaded * up).min(latency);
     }
 
@@ -503,12 +506,8 @@
 
     fn sent(&mut self, i: usize, rest: usize, now: Millis) {
         let u = &mut self.slots[i];
-        if rest == 0 {
-            u.connections = u.inflight;
-        }
-        if u.inflight == 0 {
-            u.silent_since = now;
-        }
+        u.connections = if rest == 0 { u.inflight } else { u.connections };
+        u.silent_since = if u.inflight == 0 { now } else { u.silent_since };
         u.inflight += 1;
         if u.connections <= u.inflight {
             (u.connections, u.rested_from) = (u.inflight, now);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -431,3 +431,18 @@
     let (sent, to) = w.sent_since(from);
     assert!(to.len() >= 3, "one of four may be ejected: {sent} calls went to {to:?}");
 }
+
+/// In a jam in which three of four answers were still in time, what counts as the unloaded answer time grew, and with
+/// it what may be in flight: the crowded upstreams never had the rest that they recover by.
+#[test]
+fn a_jam_does_not_raise_what_may_be_in_flight() {
+    let class = Class { late_worth: 0.5, ..class(Effect::Free) };
+    let mut w = world(Settings { classes: vec![class], ..shared(&[1.0]) }, 4);
+    w.traffic(5000.0, 60.0, &[0], &|_| Some((Ending::Ok, 150.0)));
+    w.traffic(30_000.0, 60.0, &[0], &|id| Some((Ending::Ok, if id.0 == 4 { 600.0 } else { 400.0 })));
+    w.pass(2000.0);
+    let from = w.now;
+    w.traffic(900.0, 100.0, &[0], &|_| None);
+    let (sent, _) = w.sent_since(from);
+    assert!(sent < 30, "{sent} calls at once went into a jammed tier");
+}
