--- a/src/policy.rs
+++ b/src/policy.rs
@@ -228,7 +228,7 @@
         true
     }
 
-    /// The unloaded answer time is the least mean of late, let up only while nearly all answers are in time: in
+    /// The unloaded answer time is the least mean of late, let up only while nearly all are in time. In
     /// a jam it would let more calls in, and crowded servers never get the rest that they recover by.
     fn note_latency(&mut self, latency: Millis) {
         let up = if self.success < UNLOADED_AT { 1.0 } else { 1.0 + UNLOADED_UP };
