Layout by concern: a virtual workspace under crates/, the decision module as a folder

Change: crates/ holds oakflow, settings, simhost and herondock; versions, lints and dependencies are stated once, in the workspace. policy.rs becomes policy/ by concern: limits, admission, members, pick, attempts, chance, and the event handler in mod.rs.

--- a/node/src/main.rs
+++ b/crates/herondock/src/main.rs
@@ -1,6 +1,4 @@
 //! herondock: a load balancer on real sockets. Start-up, signals and wiring; see the README.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 mod config;
 mod discovery;
 mod driver;
--- a/src/lib.rs
+++ b/crates/oakflow/src/lib.rs
@@ -23,8 +23,6 @@
 //! balancer.handle(21.0, answer, &mut actions);
 //! assert!(actions.is_empty(), "a served request is over");
 //! ```
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 mod interface;
 mod policy;
 
@@ -33,5 +31,5 @@
 
 /// Runs the README's example with the documentation tests.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 struct Readme;
--- a/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,8 +8,6 @@
 //! requests, connections and dialling; [`Deployment`] keeps what of these a balancer on sockets needs. Of the events the codec drops probe results, peer messages and load
 //! reports; of a request its key, its cost hint and its marks; of a list entry its scale. Never asked for: single
 //! fetches of the list, and unsubscribing.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 use oakflow::{Class, DedupScope, Effect, Settings, Tenant};
 use serde::Deserialize;
 
--- a/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,5 +1,4 @@
 //! Hosts oakflow balancers on the simulator's wire: frames in on standard input, replies out.
-#![forbid(unsafe_code)]
 mod wire;
 
 use oakflow::{Action, Balancer, Event};
