--- a/crates/herondock/src/config.rs
+++ b/crates/herondock/src/config.rs
@@ -1,10 +1,15 @@
 //! The configuration file as typed values. Whatever is wrong with it is named with the field at fault.
-use crate::discovery::{Listing, Names};
+use crate::members::discovery::{self, Names};
+use crate::members::Listing;
+use oakflow_settings::operator::read_whole;
 use oakflow_settings::Deployment;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
+use std::path::Path;
 
+/// Largest configuration that is read; its list of upstreams is the most of it.
+const FILE_MOST: u64 = 16 << 20;
 /// Descriptors where the configuration states no limit.
 const SOCKETS: usize = 1024;
 /// Fewer descriptors than this leave no room for callers and upstreams.
@@ -45,6 +50,19 @@
     pub deployment: Deployment,
 }
 
+/// Reads the file that `NODE_CONFIG` names.
+pub fn load() -> Result<Config, String> {
+    let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
+    read(Path::new(&path)).map_err(|e| format!("NODE_CONFIG: {e}"))
+}
+
+/// Reads a file.
+pub fn read(path: &Path) -> Result<Config, String> {
+    let named = |what: String| format!("{}: {what}", path.display());
+    let text = read_whole(path, FILE_MOST).map_err(named)?;
+    Config::parse(&text).map_err(named)
+}
+
 impl Config {
     /// Reads a configuration.
     pub fn parse(json: &[u8]) -> Result<Config, String> {
@@ -71,7 +89,9 @@
         }
         let names = Names::of(&deployment);
         let known = match file.known.as_ref().map(|k| k.get()).filter(|k| *k != "null") {
-            Some(known) => Some(Listing::parse(known.as_bytes(), &names).map_err(|e| format!("known: {e}"))?),
+            Some(known) => {
+                Some(discovery::parse(known.as_bytes(), &names).map_err(|e| format!("known: {e}"))?)
+            }
             None => None,
         };
         let (name, listen, discovery) = (file.name, file.listen, file.discovery);
--- a/crates/herondock/src/driver.rs
+++ b/crates/herondock/src/driver.rs
@@ -1,15 +1,14 @@
 //! The one owner of the decision module: feeds it events in order, carries out its actions, keeps its clock,
-//! its timers and the ids of requests and attempts. Nothing is decided here.
-use crate::discovery::Listing;
-use crate::upstream::{Transport, Upstream};
+//! its timers and the ids of requests and attempts. Nothing is decided here, and no protocol is known.
+use crate::exchange::{Answer, Attempt, Gate, Request, Upstream};
+use crate::log::log;
+use crate::members::{Audience, Entry, Listing};
+use crate::sockets::Sockets;
 use bytes::Bytes;
-use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Method, StatusCode, Uri};
-use oakflow::{
-    Action, Availability, Balancer, Ending, Event, Membership, Millis, Request, RequestId, UpstreamId,
-};
-use std::cell::{Cell, RefCell};
+use oakflow::{Action, Availability, Balancer, Ending, Event, Membership, Millis, RequestId, UpstreamId};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
@@ -23,43 +22,6 @@
 /// Longest timer that the module may ask for.
 const TIMER_MOST: Millis = 71.0 * 60_000.0;
 
-/// A request as it goes on to upstreams.
-pub struct Outgoing {
-    /// The caller's id for it.
-    pub name: Option<HeaderValue>,
-    /// Its method.
-    pub method: Method,
-    /// Path and query.
-    pub target: Uri,
-    /// End-to-end headers.
-    pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Bytes,
-    /// Set when the request has ended: what has not been written for it by then must not be.
-    pub over: Cell<bool>,
-}
-
-/// The one final answer to a request.
-#[derive(Debug)]
-pub enum Answer {
-    /// An upstream's answer.
-    Served {
-        /// Its end-to-end headers.
-        headers: HeaderMap,
-        /// Its whole body.
-        body: Bytes,
-    },
-    /// Refused: another try does no harm.
-    Refused {
-        /// How long the client should stay away; zero: no advice.
-        retry_after: Millis,
-    },
-    /// Turned away by the upstream as something it can't use.
-    Unusable(StatusCode),
-    /// Failed, with no promise about its effect.
-    Failed,
-}
-
 /// Why a request was not taken.
 #[derive(Debug)]
 pub enum Untaken {
@@ -72,7 +34,7 @@
 struct Open {
     /// Taken when the final answer is given or the client is gone.
     reply: Option<oneshot::Sender<Answer>>,
-    out: Rc<Outgoing>,
+    out: Rc<Request>,
     deadline: Millis,
     sends: u32,
     running: u32,
@@ -86,7 +48,8 @@
     }
 }
 
-struct Attempt {
+/// An attempt that is out.
+struct Out {
     upstream: UpstreamId,
     sent: Instant,
     task: AbortHandle,
@@ -99,11 +62,25 @@
     Sweep,
 }
 
+/// An upstream that the module may name.
+struct Known {
+    upstream: Rc<dyn Upstream>,
+    gate: Rc<Gate>,
+    addr: SocketAddr,
+    availability: Availability,
+    /// When its process last started.
+    since: Millis,
+}
+
+/// Chooses the transport for an upstream by what it speaks.
+pub type Transports = Box<dyn Fn(&Entry) -> Rc<dyn Upstream>>;
+
 struct Driver {
     balancer: Balancer,
     start: Instant,
     start_ms: Millis,
-    transport: Transport,
+    transports: Transports,
+    sockets: Sockets,
     drain_grace: Duration,
     max_open: usize,
     /// Every request has its answer by then.
@@ -111,10 +88,10 @@
     next_id: u32,
     open: HashMap<RequestId, Open>,
     /// The callers' names of the requests that are open.
-    names: HashSet<HeaderValue>,
-    attempts: HashMap<(RequestId, u32), Attempt>,
+    names: HashSet<Bytes>,
+    attempts: HashMap<(RequestId, u32), Out>,
     /// Every upstream that the module may name: those listed, and those with attempts out.
-    upstreams: HashMap<UpstreamId, (Rc<Upstream>, Availability, Millis)>,
+    upstreams: HashMap<UpstreamId, Known>,
     timers: BTreeMap<(Instant, u64), Due>,
     timer_seq: u64,
     events: VecDeque<Event>,
@@ -131,6 +108,23 @@
 #[derive(Clone)]
 pub struct Handle(Rc<Shared>);
 
+impl Audience for Handle {
+    fn listed(&self, listing: &Listing) {
+        self.0.driver.borrow_mut().note_list(listing, listing.full);
+        let members = listing.members().collect();
+        let news = if listing.full { Membership::Full(members) } else { Membership::Delta(members) };
+        self.feed(Event::Membership(news));
+    }
+
+    fn list_failed(&self) {
+        self.feed(Event::Membership(Membership::Failed));
+    }
+
+    async fn subscribed(&self) {
+        self.0.subscribe.notified().await;
+    }
+}
+
 /// Milliseconds since 1970, the module's clock, so that start times of upstreams need no conversion.
 pub fn unix_ms() -> Millis {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
@@ -145,7 +139,9 @@
     /// The clock at the start; it goes on by elapsed time alone, whatever is done to the system's clock.
     pub start_ms: Millis,
     /// Attempts and connections.
-    pub transport: Transport,
+    pub transports: Transports,
+    /// The budget of sockets.
+    pub sockets: Sockets,
     /// Within this time after the news sends to a draining upstream must end.
     pub drain_grace: Duration,
     /// Most requests open at once.
@@ -180,12 +176,13 @@
 impl Handle {
     /// Sets the driver up; [`Handle::run`] must run for its timers to fire.
     pub fn new(parts: Parts) -> Handle {
-        let Parts { balancer, start, start_ms, transport, drain_grace, max_open } = parts;
+        let Parts { balancer, start, start_ms, transports, sockets, drain_grace, max_open } = parts;
         let driver = Driver {
             balancer,
             start,
             start_ms,
-            transport,
+            transports,
+            sockets,
             drain_grace,
             max_open,
             last: f64::INFINITY,
@@ -227,8 +224,8 @@
             Due::Sweep => {
                 let mut d = self.0.driver.borrow_mut();
                 let now = Instant::now();
-                for (upstream, ..) in d.upstreams.values() {
-                    upstream.sweep(now, d.transport.idle);
+                for known in d.upstreams.values() {
+                    known.upstream.sweep(now);
                 }
                 d.set_timer(now + SWEEP, Due::Sweep);
             }
@@ -272,11 +269,6 @@
         self.0.driver.borrow_mut().free_socket();
     }
 
-    /// Waits until the module subscribes to the list.
-    pub async fn subscribed(&self) {
-        self.0.subscribe.notified().await;
-    }
-
     /// Takes the saved list.
     pub fn cached(&self, listing: Option<&Listing>) {
         let members = listing.iter().flat_map(|l| l.members()).collect();
@@ -286,26 +278,13 @@
         self.feed(Event::Membership(Membership::Cached(members)));
     }
 
-    /// Takes an answer of discovery.
-    pub fn listed(&self, listing: &Listing) {
-        self.0.driver.borrow_mut().note_list(listing, listing.full);
-        let members = listing.members().collect();
-        let news = if listing.full { Membership::Full(members) } else { Membership::Delta(members) };
-        self.feed(Event::Membership(news));
-    }
-
-    /// A call for the list failed or the watch broke.
-    pub fn list_failed(&self) {
-        self.feed(Event::Membership(Membership::Failed));
-    }
-
     /// Takes a request: from now on one final answer is owed.
     pub fn take(
         &self,
         class: usize,
         tenant: usize,
         patience: Millis,
-        out: Outgoing,
+        out: Request,
     ) -> Result<Waiting, Untaken> {
         let (reply, answer) = oneshot::channel();
         let (id, deadline) = {
@@ -328,7 +307,7 @@
             d.open.insert(id, open);
             (id, deadline)
         };
-        self.feed(Event::Request(Request { id, class, tenant, deadline }));
+        self.feed(Event::Request(oakflow::Request { id, class, tenant, deadline }));
         Ok(Waiting { handle: self.clone(), id, answer, done: false })
     }
 
@@ -377,8 +356,8 @@
             Action::Refuse { request, retry_after } => d.answer(request, Answer::Refused { retry_after }),
             Action::Fail { request } => d.answer(request, Answer::Failed),
             Action::CloseIdle(id) => {
-                if let Some((upstream, ..)) = d.upstreams.get(&id) {
-                    upstream.close_idle();
+                if let Some(known) = d.upstreams.get(&id) {
+                    known.upstream.close_idle();
                 }
             }
             Action::Subscribe => self.0.subscribe.notify_one(),
@@ -387,7 +366,7 @@
                 d.set_timer(Instant::now() + after, Due::Module(token));
                 self.0.timers.notify_one();
             }
-            Action::Log(line) => eprintln!("{line}"),
+            Action::Log(line) => log!("{line}"),
         }
     }
 
@@ -396,8 +375,8 @@
         let Some(open) = d.open.get_mut(&id) else { return };
         let number = open.sends;
         open.sends += 1;
-        let target = d.upstreams.get(&to).map(|(u, ..)| u.clone());
-        let (Some(target), true) = (target, open.reply.is_some()) else {
+        let target = d.upstreams.get(&to).map(|known| (known.upstream.clone(), known.gate.clone()));
+        let (Some((target, gate)), true) = (target, open.reply.is_some()) else {
             let closed = open.reply.is_none();
             let ending = Ending::Moot;
             d.events.push_back(Event::Outcome {
@@ -413,17 +392,16 @@
         let wait = if timeout > 0.0 { timeout.min(left) } else { left };
         let until = now + Duration::from_secs_f64(wait / 1000.0);
         open.running += 1;
-        let out = open.out.clone();
-        let (transport, handle) = (d.transport.clone(), self.clone());
-        if target.oldest_idle().is_none() && transport.sockets.exhausted() {
+        let (attempt, handle) = (Attempt { request: open.out.clone(), gate, until }, self.clone());
+        if target.oldest_idle().is_none() && d.sockets.exhausted() {
             d.free_socket();
         }
         let task = tokio::task::spawn_local(async move {
-            let (ending, answer) = transport.attempt(target, out, until).await;
+            let (ending, answer) = target.attempt(attempt).await;
             handle.ended(id, number, ending, answer);
         });
         let due = d.set_timer(until, Due::Attempt(id, number));
-        let attempt = Attempt { upstream: to, sent: now, task: task.abort_handle(), due };
+        let attempt = Out { upstream: to, sent: now, task: task.abort_handle(), due };
         d.attempts.insert((id, number), attempt);
         self.0.timers.notify_one();
     }
@@ -480,7 +458,7 @@
 
     /// Forgets an upstream that is gone once nothing is out to it.
     fn forget_upstream(&mut self, id: UpstreamId) {
-        let gone = self.upstreams.get(&id).is_some_and(|&(_, a, _)| a == Availability::Gone);
+        let gone = self.upstreams.get(&id).is_some_and(|known| known.availability == Availability::Gone);
         if gone && !self.attempts.values().any(|a| a.upstream == id) {
             self.upstreams.remove(&id);
         }
@@ -488,7 +466,7 @@
 
     /// Closes the idle connection that rested longest, of all upstreams: its socket is needed elsewhere.
     fn free_socket(&mut self) {
-        let oldest = self.upstreams.values().filter_map(|(u, ..)| Some((u.oldest_idle()?, u)));
+        let oldest = self.upstreams.values().filter_map(|k| Some((k.upstream.oldest_idle()?, &k.upstream)));
         if let Some((_, upstream)) = oldest.min_by_key(|&(since, _)| since) {
             upstream.drop_oldest();
         }
@@ -497,34 +475,39 @@
     /// Keeps addresses and connections in step with the list.
     fn note_list(&mut self, listing: &Listing, whole: bool) {
         let closes = Instant::now() + self.drain_grace;
-        let close = |upstream: &Upstream| {
-            upstream.closes.set(Some(upstream.closes.get().unwrap_or(closes)));
-            upstream.close_idle();
+        let close = |known: &Known| {
+            known.gate.close_at(closes);
+            known.upstream.close_idle();
         };
         self.listed |= !listing.entries.is_empty();
         if whole {
-            for (id, (upstream, availability, _)) in &mut self.upstreams {
+            for (id, known) in &mut self.upstreams {
                 if !listing.entries.iter().any(|e| e.member.id == *id) {
-                    *availability = Availability::Gone;
-                    close(upstream);
+                    known.availability = Availability::Gone;
+                    close(known);
                 }
             }
         }
         for entry in &listing.entries {
             let m = &entry.member;
-            let fresh = || (Upstream::new(entry.addr), m.availability, m.since);
-            let (upstream, availability, since) = self.upstreams.entry(m.id).or_insert_with(fresh);
+            let known = self.upstreams.entry(m.id).or_insert_with(|| Known {
+                upstream: (self.transports)(entry),
+                gate: Rc::default(),
+                addr: entry.addr,
+                availability: m.availability,
+                since: m.since,
+            });
             // Another address or another start: the old connections lead nowhere.
-            if upstream.addr.replace(entry.addr) != entry.addr || *since != m.since {
-                upstream.replaced();
+            if known.addr != entry.addr || known.since != m.since {
+                known.upstream.replaced(entry.addr);
             }
-            (*availability, *since) = (m.availability, m.since);
+            (known.addr, known.availability, known.since) = (entry.addr, m.availability, m.since);
             match m.availability {
-                Availability::Ready => upstream.closes.set(None),
-                Availability::Draining | Availability::Gone => close(upstream),
+                Availability::Ready => known.gate.open(),
+                Availability::Draining | Availability::Gone => close(known),
             }
         }
-        let gone = self.upstreams.iter().filter(|(_, (_, a, _))| *a == Availability::Gone);
+        let gone = self.upstreams.iter().filter(|(_, known)| known.availability == Availability::Gone);
         for id in gone.map(|(&id, _)| id).collect::<Vec<_>>() {
             self.forget_upstream(id);
         }
--- /dev/null
+++ b/crates/herondock/src/exchange.rs
@@ -0,0 +1,196 @@
+//! What fronts, the driver and transports exchange: a request, its one answer, an attempt and its ending.
+//!
+//! Nothing here belongs to a protocol, and nothing here is decided: a front turns its protocol's messages into a
+//! [`Request`] and an [`Answer`] back into them, the driver numbers and times, and a transport carries one
+//! [`Attempt`] out in the protocol of its upstream.
+use bytes::{BufMut, Bytes, BytesMut};
+use oakflow::{Ending, Millis};
+use std::cell::Cell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// What a request asks for; the effect of a repeat is its class's matter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Method {
+    /// Reads; has no body.
+    Get,
+    /// Acts.
+    Post,
+}
+
+/// Names and values in order, one allocation for the text of all. Names may come more than once.
+#[derive(Clone, Debug, Default)]
+pub struct Fields {
+    text: Bytes,
+    /// Where each name and each value ends.
+    ends: Vec<(u32, u32)>,
+}
+
+impl Fields {
+    /// Gathers fields. The caller has bounded them: a text of 4 GiB or more is cut short.
+    pub fn new<'a>(fields: impl Iterator<Item = (&'a str, &'a [u8])>) -> Fields {
+        let (mut text, mut ends) = (BytesMut::with_capacity(512), Vec::with_capacity(12));
+        for (name, value) in fields {
+            let end = |more: usize| u32::try_from(more).ok();
+            let name_end = text.len() + name.len();
+            let (Some(name_ends), Some(value_ends)) = (end(name_end), end(name_end + value.len())) else {
+                break;
+            };
+            text.put_slice(name.as_bytes());
+            text.put_slice(value);
+            ends.push((name_ends, value_ends));
+        }
+        Fields { text: text.freeze(), ends }
+    }
+
+    /// Each name and value; the value shares the text.
+    pub fn iter(&self) -> impl Iterator<Item = (&[u8], Bytes)> + '_ {
+        let mut start = 0;
+        self.ends.iter().map(move |&(name, value)| {
+            let (name, value) = (name as usize, value as usize);
+            let field = (&self.text[start..name], self.text.slice(name..value));
+            start = value;
+            field
+        })
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.ends.len()
+    }
+}
+
+/// A request as it goes on to upstreams, whole.
+pub struct Request {
+    /// The caller's id for it: upstreams tell repeats by it.
+    pub name: Option<Bytes>,
+    /// Its method.
+    pub method: Method,
+    /// Path and query, as the caller wrote them.
+    pub target: Box<str>,
+    /// End-to-end fields.
+    pub fields: Fields,
+    /// The whole body.
+    pub body: Bytes,
+    /// Set when the request has ended: what has not been written for it by then must not be.
+    pub over: Cell<bool>,
+}
+
+/// The one final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// An upstream's answer.
+    Served {
+        /// Its end-to-end fields.
+        fields: Fields,
+        /// Its whole body.
+        body: Bytes,
+    },
+    /// Refused: another try does no harm.
+    Refused {
+        /// How long the client should stay away; zero: no advice.
+        retry_after: Millis,
+    },
+    /// Turned away by the upstream as something it can't use, with this status (400 to 499).
+    Unusable(u16),
+    /// Failed, with no promise about its effect.
+    Failed,
+}
+
+/// How an attempt ended, and the answer if it brought one.
+pub type Ended = (Ending, Option<Answer>);
+
+/// Until when something may be written to an upstream. Shared by the driver, which hears the news, and the
+/// attempts that are on their way.
+#[derive(Debug, Default)]
+pub struct Gate(Cell<Option<Instant>>);
+
+impl Gate {
+    /// Nothing may be written from `at` on, nor after an earlier time that was set before.
+    pub fn close_at(&self, at: Instant) {
+        self.0.set(Some(self.0.get().map_or(at, |before| before.min(at))));
+    }
+
+    /// The upstream takes new work again.
+    pub fn open(&self) {
+        self.0.set(None);
+    }
+
+    /// Whether it is too late to write.
+    pub fn closed(&self, now: Instant) -> bool {
+        self.0.get().is_some_and(|at| now >= at)
+    }
+}
+
+/// One request to one upstream, once.
+pub struct Attempt {
+    /// The request.
+    pub request: Rc<Request>,
+    /// The upstream's gate.
+    pub gate: Rc<Gate>,
+    /// When it is given up.
+    pub until: Instant,
+}
+
+impl Attempt {
+    /// Whether its first byte may be written now. A transport asks right before it writes: what was decided before
+    /// dialling must not go out once the upstream's grace, the attempt's time or the request itself is over.
+    pub fn may_be_written(&self, now: Instant) -> bool {
+        !self.gate.closed(now) && now < self.until && !self.request.over.get()
+    }
+}
+
+/// An attempt that is carried out. Dropping it closes the connection that it is on.
+pub type Running = Pin<Box<dyn Future<Output = Ended>>>;
+
+/// One upstream, reached by its protocol, and the connections kept to it.
+pub trait Upstream {
+    /// Carries one attempt out: its request is written once at most.
+    fn attempt(self: Rc<Self>, attempt: Attempt) -> Running;
+
+    /// Another process has taken its place at `addr`: connections to the old one, those in use too, carry nothing
+    /// more.
+    fn replaced(&self, addr: SocketAddr);
+
+    /// Closes the connections that carry no call now.
+    fn close_idle(&self);
+
+    /// Closes the connections that have been idle for too long, and those that the other side closed.
+    fn sweep(&self, now: Instant);
+
+    /// Since when the connection that rested longest is idle.
+    fn oldest_idle(&self) -> Option<Instant>;
+
+    /// Closes the connection that rested longest.
+    fn drop_oldest(&self);
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    #[test]
+    fn fields_keep_their_order_and_repeats() {
+        let given = [("a", &b"1"[..]), ("long-name", b""), ("a", b"2 3")];
+        let fields = Fields::new(given.iter().copied());
+        let got: Vec<_> = fields.iter().map(|(n, v)| (n.to_vec(), v.to_vec())).collect();
+        let wanted: Vec<_> = given.iter().map(|(n, v)| (n.as_bytes().to_vec(), v.to_vec())).collect();
+        assert_eq!((got, fields.len()), (wanted, 3));
+    }
+
+    /// Guards against later news of a drain giving an upstream more time than the first.
+    #[test]
+    fn a_gate_keeps_its_earliest_end() {
+        let (gate, now) = (Gate::default(), Instant::now());
+        let later = now + Duration::from_secs(1);
+        gate.close_at(later);
+        gate.close_at(later + Duration::from_secs(9));
+        assert!(!gate.closed(now) && gate.closed(later));
+        gate.open();
+        assert!(!gate.closed(later));
+    }
+}
--- a/crates/herondock/src/front/http.rs
+++ b/crates/herondock/src/front/http.rs
@@ -1,17 +1,23 @@
-//! The callers' side: takes requests whole, hands them to the driver and writes the one final answer.
-use crate::driver::{Answer, Handle, Outgoing, Untaken, Waiting};
-use crate::inbound::{Shared, Watch, Watched, HEAD_MOST};
+//! Callers that speak HTTP/1.1: takes requests whole, hands them to the driver and writes the one final answer.
+use super::watched::{Watch, Watched};
+use super::Phase;
+use crate::driver::{Handle, Untaken, Waiting};
+use crate::exchange::{Answer, Method, Request};
+use crate::http::{end_to_end, fields, headers, DEADLINE};
+use crate::live::Live;
+use crate::log::log;
 use crate::sockets::{Places, Sockets};
-use crate::upstream::{end_to_end, BODY_MOST, DEADLINE};
+use crate::stream::Shared;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use oakflow::{Effect, Millis};
+use oakflow_settings::operator::Limits;
 use oakflow_settings::Deployment;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -23,48 +29,23 @@
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-/// A caller has this long for a request, counted from its connection or, on a kept one, from the first byte.
-const REQUEST_WAIT: Duration = Duration::from_millis(2500);
-/// A caller that has been answered may keep its connection unused for this long.
-const IDLE_WAIT: Duration = Duration::from_secs(10);
 /// A connection that has asked for nothing yet makes way for new ones after this long.
 const NEWCOMER: Duration = Duration::from_millis(30);
 /// Or, while none that was used has rested for [`RESTED`], after this long.
 const NEWCOMER_LEAST: Duration = Duration::from_millis(5);
 /// A connection that was used makes way before young newcomers after this long.
 const RESTED: Duration = Duration::from_secs(2);
-/// What a caller goes on sending after it was turned away is read for this long, and this much of it: closing
-/// on bytes unread would destroy the answer on its way.
-const LINGER: Duration = Duration::from_millis(500);
-const LINGER_MOST: usize = 1 << 20;
 /// How often a connection's waits are looked at.
 const LOOK: Duration = Duration::from_secs(1);
-/// A connection that is to close, and owes no answer, has this long to take what was written.
-const FLUSH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after an accept that failed, for want of descriptors for one.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// While all callers' connections are busy, the next look for one that may be closed comes after this.
 const CROWDED_PAUSE: Duration = Duration::from_millis(10);
-/// When a caller may come again that found as many requests open as may be.
-const FULL_PAUSE: Millis = 500.0;
-/// Longest request id taken.
-const ID_MOST: usize = 256;
+/// What is read at once of that which is thrown away.
+const DRAIN_STEP: usize = 16 << 10;
 const READY: &str = "/-/ready";
 const SERVICE: &str = "/api";
 
-/// How far the end of the program has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// Serving.
-    Up,
-    /// Told to end: new connections are still accepted, and kept ones go on being served.
-    Leaving,
-    /// No connection is accepted any more; those that there are go on being served.
-    Draining,
-    /// Connections end with their next answer, and those between requests are closed.
-    Closing,
-}
-
 /// A connection between requests: whether it has carried one, and its turn.
 type Place = (bool, u64);
 
@@ -73,6 +54,7 @@
     driver: Handle,
     deployment: Deployment,
     sockets: Sockets,
+    limits: Live<Limits>,
     phase: watch::Receiver<Phase>,
     /// Connections between requests and how to close them, those that never asked for anything first, and among
     /// these the one that rested longest.
@@ -87,10 +69,11 @@
         driver: Handle,
         deployment: Deployment,
         sockets: Sockets,
+        limits: Live<Limits>,
         phase: watch::Receiver<Phase>,
     ) -> Rc<Server> {
         let (idle, turn) = (RefCell::default(), Cell::new(0));
-        Rc::new(Server { driver, deployment, sockets, phase, idle, turn })
+        Rc::new(Server { driver, deployment, sockets, limits, phase, idle, turn })
     }
 
     /// Notes that a connection is between requests, `used` once it has carried one. Its number is to be taken
@@ -169,7 +152,7 @@
                 // Out of descriptors, or a caller that left at once: no reason to end, nor to spin.
                 Err(e) => {
                     if !std::mem::replace(&mut failing, true) {
-                        eprintln!("accept: {e}");
+                        log!("accept: {e}");
                     }
                     self.close_one();
                     tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -206,8 +189,9 @@
                 Ok::<_, Infallible>(response)
             }
         });
-        let io = TokioIo::new(Watched::new(stream.clone(), link.watch.clone()));
-        let connection = http1::Builder::new().max_buf_size(HEAD_MOST).serve_connection(io, service);
+        let head_most = self.limits.get().head;
+        let io = TokioIo::new(Watched::new(stream.clone(), link.watch.clone(), head_most));
+        let connection = http1::Builder::new().max_buf_size(head_most).serve_connection(io, service);
         let mut connection = std::pin::pin!(connection);
         let mut phase = self.phase.clone();
         let mut closing = false;
@@ -217,7 +201,7 @@
                 // A caller's broken connection or garbage ends this connection only.
                 _ = connection.as_mut() => break,
                 // Nothing is owed, and half a request may be in the way of a graceful end.
-                () = link.overdue() => break,
+                () = link.overdue(&self.limits) => break,
                 () = link.close.notified() => crowded = true,
                 _ = phase.wait_for(|p| *p == Phase::Closing), if !closing => closing = true,
             }
@@ -230,17 +214,18 @@
             if link.place.get().is_some() && !half && stream.quiet() {
                 connection.as_mut().graceful_shutdown();
                 // Guards against callers that never read their answer: no hold on us.
-                let _ = timeout(FLUSH_WAIT, connection.as_mut()).await;
+                let _ = timeout(self.limits.get().flush_wait, connection.as_mut()).await;
                 break;
             }
         }
         self.rests_no_more(link.place.take());
         if link.refused.get() {
-            let _ = timeout(LINGER, drain(&mut stream)).await;
+            let limits = self.limits.get();
+            let _ = timeout(limits.linger_wait, drain(&mut stream, limits.linger)).await;
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>, link: &Link) -> Response<Full<Bytes>> {
+    async fn respond(&self, request: hyper::Request<Incoming>, link: &Link) -> Response<Full<Bytes>> {
         let watch = &link.watch;
         watch.given.set(watch.given.get() + 1);
         // Guards against requests hidden in the body of another: behind a head that states its length in two
@@ -252,7 +237,7 @@
             READY if self.driver.ready() && *self.phase.borrow() == Phase::Up => plain(StatusCode::OK),
             READY => plain(StatusCode::SERVICE_UNAVAILABLE),
             path if path == SERVICE || path.starts_with("/api/") => {
-                let due = watch.since.get() + REQUEST_WAIT;
+                let due = watch.since.get() + self.limits.get().request_wait;
                 match self.take(request, due).await {
                     Ok(waiting) => final_answer(waiting.answer().await),
                     Err(response) => response,
@@ -271,17 +256,22 @@
     }
 
     /// Reads a request whole and hands it to the driver.
-    async fn take(&self, request: Request<Incoming>, due: Instant) -> Result<Waiting, Response<Full<Bytes>>> {
+    async fn take(
+        &self,
+        request: hyper::Request<Incoming>,
+        due: Instant,
+    ) -> Result<Waiting, Response<Full<Bytes>>> {
         let (head, body) = request.into_parts();
+        let limits = self.limits.get();
         let bad = |what: &str| refuse_input(StatusCode::BAD_REQUEST, what);
-        let (class, tenant, patience) = self.classify(&head.method, &head.headers).map_err(bad)?;
-        if body.size_hint().lower() > BODY_MOST as u64 {
+        let (class, tenant, patience, method) = self.classify(&head.method, &head.headers).map_err(bad)?;
+        if body.size_hint().lower() > limits.body as u64 {
             return Err(refuse_input(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
         }
-        if head.method == Method::GET && !body.is_end_stream() {
+        if method == Method::Get && !body.is_end_stream() {
             return Err(bad("GET has no body"));
         }
-        let body = match timeout_at(due, Limited::new(body, BODY_MOST).collect()).await {
+        let body = match timeout_at(due, Limited::new(body, limits.body).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) if e.is::<LengthLimitError>() => {
                 return Err(refuse_input(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
@@ -292,17 +282,28 @@
         let mut headers = head.headers;
         end_to_end(&mut headers);
         headers.remove(&DEADLINE);
-        let target = head.uri.path_and_query().map(|p| Uri::from(p.clone())).unwrap_or_default();
-        let name = headers.get("req-id").cloned();
-        let out = Outgoing { name, method: head.method, target, headers, body, over: Cell::new(false) };
-        self.driver.take(class, tenant, patience, out).map_err(|untaken| match untaken {
-            Untaken::Full => final_answer(Answer::Refused { retry_after: FULL_PAUSE }),
+        let request = Request {
+            name: headers.get("req-id").map(|id| Bytes::copy_from_slice(id.as_bytes())),
+            method,
+            target: head.uri.path_and_query().map_or("/", |p| p.as_str()).into(),
+            fields: fields(&headers),
+            body,
+            over: Cell::new(false),
+        };
+        self.driver.take(class, tenant, patience, request).map_err(|untaken| match untaken {
+            Untaken::Full => {
+                final_answer(Answer::Refused { retry_after: limits.full_pause.as_secs_f64() * 1000.0 })
+            }
             Untaken::Known => refuse_input(StatusCode::CONFLICT, "a request with this Req-Id is open"),
         })
     }
 
     /// Class, tenant and patience of a request, or what is wrong with its head.
-    fn classify(&self, method: &Method, headers: &HeaderMap) -> Result<(usize, usize, Millis), &'static str> {
+    fn classify(
+        &self,
+        method: &hyper::Method,
+        headers: &HeaderMap,
+    ) -> Result<(usize, usize, Millis, Method), &'static str> {
         let d = &self.deployment;
         let one = |name: &str| {
             let mut all = headers.get_all(name).iter();
@@ -310,7 +311,7 @@
             all.next().is_none().then_some(value)
         };
         let id = one("req-id").ok_or("Req-Id is missing")?;
-        if id.is_empty() || id.len() > ID_MOST {
+        if id.is_empty() || id.len() > self.limits.get().request_id {
             return Err("Req-Id is bad");
         }
         let kind = one("req-kind").ok_or("Req-Kind is missing")?;
@@ -324,15 +325,16 @@
         let patience = one("req-deadline").ok_or("Req-Deadline is missing")?;
         let patience = span(patience).ok_or("Req-Deadline is bad")?;
         let keyed = one("idempotency-key").is_some_and(|k| !k.is_empty());
+        let (get, post) = (method == hyper::Method::GET, method == hyper::Method::POST);
         let form = match d.policy.classes[class].effect {
-            Effect::Free => method == Method::GET,
-            Effect::Guarded { .. } => method == Method::POST && keyed,
-            Effect::SingleShot => method == Method::POST && !headers.contains_key("idempotency-key"),
+            Effect::Free => get,
+            Effect::Guarded { .. } => post && keyed,
+            Effect::SingleShot => post && !headers.contains_key("idempotency-key"),
         };
         if !form {
             return Err("the method or Idempotency-Key does not fit the class");
         }
-        Ok((class, tenant, patience))
+        Ok((class, tenant, patience, if get { Method::Get } else { Method::Post }))
     }
 }
 
@@ -350,12 +352,14 @@
 
 impl Link {
     /// Returns once the caller has been waited for long enough.
-    async fn overdue(&self) {
+    async fn overdue(&self, limits: &Live<Limits>) {
         let watch = &self.watch;
         loop {
             let now = Instant::now();
             let waiting = self.place.get().is_some();
-            let most = if watch.given.get() > 0 && !watch.midway.get() { IDLE_WAIT } else { REQUEST_WAIT };
+            let limits = limits.get();
+            let rests = watch.given.get() > 0 && !watch.midway.get();
+            let most = if rests { limits.idle_wait } else { limits.request_wait };
             let due = watch.since.get() + most;
             if waiting && now >= due {
                 return;
@@ -367,9 +371,8 @@
 }
 
 /// Reads what still comes, to throw it away.
-async fn drain(stream: &mut Shared) {
-    let mut most = LINGER_MOST;
-    let mut buffer = vec![0; HEAD_MOST];
+async fn drain(stream: &mut Shared, mut most: usize) {
+    let mut buffer = vec![0; DRAIN_STEP];
     while most > 0 {
         match stream.read(&mut buffer).await {
             Ok(n) if n > 0 => most = most.saturating_sub(n),
@@ -405,9 +408,9 @@
 
 fn final_answer(answer: Answer) -> Response<Full<Bytes>> {
     match answer {
-        Answer::Served { headers, body } => {
+        Answer::Served { fields, body } => {
             let mut response = Response::new(Full::new(body));
-            *response.headers_mut() = headers;
+            *response.headers_mut() = headers(&fields);
             response
         }
         Answer::Refused { retry_after } => {
@@ -420,7 +423,10 @@
             }
             response
         }
-        Answer::Unusable(status) => refuse_input(status, "turned away by the service"),
+        Answer::Unusable(status) => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
+            refuse_input(status, "turned away by the service")
+        }
         Answer::Failed => plain(StatusCode::BAD_GATEWAY),
     }
 }
--- a/crates/herondock/src/front/watched.rs
+++ b/crates/herondock/src/front/watched.rs
@@ -1,73 +1,14 @@
-//! A socket that stays in sight while hyper reads and writes it, and what callers' bytes tell before hyper has
-//! them: hyper drops `Content-Length` beside `Transfer-Encoding`, and does not tell of half a head.
-use std::cell::{Cell, RefCell, RefMut};
+//! What callers' bytes tell before hyper has them: hyper drops `Content-Length` beside `Transfer-Encoding`, and
+//! does not tell of half a head.
+use crate::stream::Shared;
+use std::cell::Cell;
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// Largest head of a message, both ways; hyper turns away more.
-pub const HEAD_MOST: usize = 16 << 10;
-
-/// A stream with more than one holder; closed when the last one drops it.
-#[derive(Clone)]
-pub struct Shared(Rc<RefCell<TcpStream>>);
-
-impl Shared {
-    /// Shares a stream.
-    pub fn new(stream: TcpStream) -> Shared {
-        Shared(Rc::new(RefCell::new(stream)))
-    }
-
-    /// Whether the socket is open and holds nothing unread. Asks the system: the runtime learns of bytes and of
-    /// ends only when it next waits.
-    pub fn quiet(&self) -> bool {
-        let stream = self.0.borrow();
-        let peeked = socket2::SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]);
-        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
-    }
-
-    fn stream(&self) -> RefMut<'_, TcpStream> {
-        self.0.borrow_mut()
-    }
-}
-
-impl AsyncRead for Shared {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream()).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for Shared {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.stream()).poll_write(cx, buf)
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream()).poll_flush(cx)
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream()).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.stream()).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.0.borrow().is_write_vectored()
-    }
-}
-
 /// What a caller's bytes have told.
 pub struct Watch {
     /// Whole heads read.
@@ -114,13 +55,15 @@
     stream: Shared,
     watch: Rc<Watch>,
     head: Vec<u8>,
+    /// Largest head; hyper turns away more.
+    head_most: usize,
     at: At,
 }
 
 impl Watched {
-    /// Watches a new stream.
-    pub fn new(stream: Shared, watch: Rc<Watch>) -> Watched {
-        Watched { stream, watch, head: Vec::new(), at: At::Head }
+    /// Watches a new stream, whose heads hold at most `head_most` bytes.
+    pub fn new(stream: Shared, watch: Rc<Watch>, head_most: usize) -> Watched {
+        Watched { stream, watch, head: Vec::new(), head_most, at: At::Head }
     }
 
     fn saw(&mut self, mut bytes: &[u8]) {
@@ -163,7 +106,7 @@
             }
         }
         self.head.extend_from_slice(bytes);
-        if self.head.len() > HEAD_MOST {
+        if self.head.len() > self.head_most {
             (self.head, self.at) = (Vec::new(), At::Lost);
         }
         &[]
--- /dev/null
+++ b/crates/herondock/src/http.rs
@@ -0,0 +1,58 @@
+//! HTTP/1.1 messages as the front and the transport share them: their fields, and what belongs to one hop only.
+use crate::exchange::{Fields, Method};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+
+/// Tells how long a request will be waited for.
+pub const DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
+
+/// Headers that belong to one connection and are not passed on.
+const HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Takes out the headers that belong to one connection (RFC 9110, section 7.6.1); the length of a body is framed
+/// anew.
+pub fn end_to_end(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|v| v.trim().parse().ok())
+        .collect();
+    for name in HOP.iter().chain(&named).chain(&[header::CONTENT_LENGTH, header::EXPECT]) {
+        headers.remove(name);
+    }
+}
+
+/// The end-to-end headers of a message as fields.
+pub fn fields(headers: &HeaderMap) -> Fields {
+    Fields::new(headers.iter().map(|(name, value)| (name.as_str(), value.as_bytes())))
+}
+
+/// Fields as headers. A field that HTTP can't carry, from another protocol, is left out.
+pub fn headers(fields: &Fields) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(fields.len() + 2);
+    for (name, value) in fields.iter() {
+        let (name, value) = (HeaderName::from_bytes(name), HeaderValue::from_maybe_shared(value));
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers
+}
+
+/// A method as hyper has it.
+pub fn method(method: Method) -> hyper::Method {
+    match method {
+        Method::Get => hyper::Method::GET,
+        Method::Post => hyper::Method::POST,
+    }
+}
--- /dev/null
+++ b/crates/herondock/src/live.rs
@@ -0,0 +1,29 @@
+//! Settings that may change while the program runs.
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// A value with many readers, replaced whole. Who has got it keeps the version that it got.
+pub struct Live<T>(Rc<RefCell<Rc<T>>>);
+
+impl<T> Live<T> {
+    /// Begins with `value`.
+    pub fn new(value: T) -> Live<T> {
+        Live(Rc::new(RefCell::new(Rc::new(value))))
+    }
+
+    /// The value as it is now.
+    pub fn get(&self) -> Rc<T> {
+        self.0.borrow().clone()
+    }
+
+    /// Replaces it.
+    pub fn set(&self, value: T) {
+        *self.0.borrow_mut() = Rc::new(value);
+    }
+}
+
+impl<T> Clone for Live<T> {
+    fn clone(&self) -> Self {
+        Live(self.0.clone())
+    }
+}
--- a/crates/herondock/src/members/discovery.rs
+++ b/crates/herondock/src/members/discovery.rs
@@ -1,13 +1,16 @@
-//! The list of upstreams: its form, and the watch that keeps it fresh.
+//! The platform's discovery as a source of members: its form, and the watch that keeps the list fresh.
 //!
 //! When to ask is the module's choice ([`oakflow::Action::Subscribe`]); a watch that stands is kept up here.
-use crate::driver::Handle;
+use super::{upstream_id, Audience, Entry, Listing, Protocol};
+use crate::live::Live;
+use crate::log::log;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper::{header, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use oakflow::{Availability, Member, UpstreamId};
+use oakflow::{Availability, Member};
+use oakflow_settings::operator::Limits;
 use oakflow_settings::Deployment;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -29,8 +32,6 @@
 const MOVED_PAUSE: Duration = Duration::from_millis(100);
 /// Pause before a pushed list is asked for again: the agent is on this machine and answers at no cost.
 const PUSHED_PAUSE: Duration = Duration::from_millis(500);
-/// Largest list accepted.
-const LIST_MOST: usize = 4 << 20;
 
 /// Names of zones and kinds, by the position that the module knows them by.
 pub struct Names {
@@ -68,37 +69,11 @@
 }
 
 /// One upstream of an answer: its line for the module and its address.
-#[derive(Clone, Debug)]
-pub struct Entry {
-    /// What the module is told.
-    pub member: Member,
-    /// Where it listens, as this balancer sees it.
-    pub addr: SocketAddr,
-}
-
-/// An answer of discovery.
-#[derive(Clone, Debug)]
-pub struct Listing {
-    /// Grows with each change.
-    pub version: u64,
-    /// Whether this is the whole list, or only what changed.
-    pub full: bool,
-    /// The upstreams.
-    pub entries: Vec<Entry>,
-}
-
-impl Listing {
-    /// Reads an answer. One bad entry spoils it whole, so that a garbled list never replaces a good one.
-    pub fn parse(json: &[u8], names: &Names) -> Result<Listing, String> {
-        let raw: RawListing = serde_json::from_slice(json).map_err(|e| e.to_string())?;
-        let entries = raw.servers.into_iter().map(|e| entry(e, names)).collect::<Result<_, _>>()?;
-        Ok(Listing { version: raw.version, full: raw.full, entries })
-    }
-
-    /// The lines for the module.
-    pub fn members(&self) -> impl Iterator<Item = Member> + '_ {
-        self.entries.iter().map(|e| e.member.clone())
-    }
+/// Reads an answer. One bad entry spoils it whole, so that a garbled list never replaces a good one.
+pub fn parse(json: &[u8], names: &Names) -> Result<Listing, String> {
+    let raw: RawListing = serde_json::from_slice(json).map_err(|e| e.to_string())?;
+    let entries = raw.servers.into_iter().map(|e| entry(e, names)).collect::<Result<_, _>>()?;
+    Ok(Listing { version: raw.version, full: raw.full, entries })
 }
 
 fn entry(e: RawEntry, names: &Names) -> Result<Entry, String> {
@@ -115,14 +90,8 @@
     let zone = names.zones.iter().position(|z| *z == e.zone).map_or(u16::MAX, |i| i as u16);
     let kind = names.kinds.iter().position(|k| *k == e.kind).map_or(u8::MAX, |i| i as u8);
     let (id, group, since) = (upstream_id(&e.id), e.cell, e.started_ms);
-    Ok(Entry { member: Member { id, zone, kind, group, availability, since }, addr: e.addr })
-}
-
-/// A stable id for an upstream's name, the same at every balancer (FNV-1a): the module spreads the balancers
-/// over the upstreams by a ring of these ids, so numbers given in order of arrival would crowd some of them.
-fn upstream_id(name: &str) -> UpstreamId {
-    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
-    UpstreamId(name.bytes().fold(0xcbf2_9ce4_8422_2325, step))
+    let member = Member { id, zone, kind, group, availability, since };
+    Ok(Entry { member, addr: e.addr, speaks: Protocol::Http })
 }
 
 /// One connection to discovery; closed when dropped.
@@ -155,6 +124,7 @@
     addr: SocketAddr,
     addresses: watch::Receiver<SocketAddr>,
     names: Names,
+    limits: Live<Limits>,
     link: Option<Link>,
     version: Option<u64>,
 }
@@ -162,13 +132,18 @@
 impl Discovery {
     /// Begins with the version of the list that the balancer already has, if any. The newest of `addresses` is
     /// where discovery is.
-    pub fn new(addresses: watch::Receiver<SocketAddr>, names: Names, version: Option<u64>) -> Discovery {
+    pub fn new(
+        addresses: watch::Receiver<SocketAddr>,
+        names: Names,
+        limits: Live<Limits>,
+        version: Option<u64>,
+    ) -> Discovery {
         let addr = *addresses.borrow();
-        Discovery { addr, addresses, names, link: None, version }
+        Discovery { addr, addresses, names, limits, link: None, version }
     }
 
     /// Serves subscriptions for ever. With `pushed` the list needs no asking and the watch always stands.
-    pub async fn run(mut self, driver: Handle, pushed: bool) {
+    pub async fn run(mut self, audience: impl Audience, pushed: bool) {
         let mut addresses = self.addresses.clone();
         let mut moved = false;
         loop {
@@ -184,27 +159,27 @@
                     // The program is ending.
                     Err(_) => return,
                 },
-                () = self.serve(&driver, pushed, moved) => {}
+                () = self.serve(&audience, pushed, moved) => {}
             }
         }
     }
 
     /// Goes over to another address, where the versions of the old one mean nothing.
     fn follow(&mut self, addr: SocketAddr) {
-        eprintln!("discovery: now at {addr}");
+        log!("discovery: now at {addr}");
         (self.addr, self.link, self.version) = (addr, None, None);
     }
 
     /// Serves subscriptions for ever. After a move the first call waits for none and is repeated until it has
     /// brought the whole list: until then the balancer goes by what it was told before.
-    async fn serve(&mut self, driver: &Handle, pushed: bool, moved: bool) {
+    async fn serve(&mut self, audience: &impl Audience, pushed: bool, moved: bool) {
         let mut answered = false;
         if moved {
             let mut pause = MOVED_PAUSE;
             while !answered {
                 match self.call().await {
                     Ok(listing) => {
-                        driver.listed(&listing);
+                        audience.listed(&listing);
                         answered = true;
                     }
                     Err(error) => {
@@ -217,14 +192,14 @@
         }
         loop {
             if !pushed && !answered {
-                driver.subscribed().await;
+                audience.subscribed().await;
             }
             let error = loop {
                 match self.call().await {
                     Ok(listing) => {
                         // One event answers the subscription; after that only changes are news.
                         if !answered || listing.full || !listing.entries.is_empty() {
-                            driver.listed(&listing);
+                            audience.listed(&listing);
                         }
                         answered = true;
                     }
@@ -233,7 +208,7 @@
             };
             answered = false;
             self.failed(&error);
-            driver.list_failed();
+            audience.list_failed();
             if pushed {
                 tokio::time::sleep(PUSHED_PAUSE).await;
             }
@@ -242,7 +217,7 @@
 
     fn failed(&mut self, error: &str) {
         self.link = None;
-        eprintln!("discovery: {error}");
+        log!("discovery: {error}");
     }
 
     /// One call. An answer that is malformed is an error and changes nothing, and so are changes that do not
@@ -280,7 +255,10 @@
         if answer.status() != StatusCode::OK {
             return Err(format!("answered {}", answer.status()));
         }
-        let body = Limited::new(answer.into_body(), LIST_MOST).collect().await.map_err(|e| e.to_string())?;
-        Listing::parse(&body.to_bytes(), &self.names)
+        let body = Limited::new(answer.into_body(), self.limits.get().list)
+            .collect()
+            .await
+            .map_err(|e| e.to_string())?;
+        parse(&body.to_bytes(), &self.names)
     }
 }
--- a/crates/herondock/src/transport/http.rs
+++ b/crates/herondock/src/transport/http.rs
@@ -1,15 +1,18 @@
-//! Attempts: one request to one upstream, once; and the connections that are kept for the next.
-use crate::driver::{Answer, Outgoing};
-use crate::inbound::{Shared, HEAD_MOST};
+//! Attempts over HTTP/1.1: one request to one upstream, once; and the connections that are kept for the next.
+use crate::exchange::{Answer, Attempt, Ended, Running, Upstream};
+use crate::http::{end_to_end, fields, headers, method, DEADLINE};
+use crate::live::Live;
 use crate::sockets::Sockets;
+use crate::stream::Shared;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
 use hyper::client::conn::http1;
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use oakflow::Ending;
+use oakflow_settings::operator::Limits;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -20,44 +23,11 @@
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, timeout_at, Instant};
 
-/// Bodies hold at most this much, both ways.
-pub const BODY_MOST: usize = 64 << 10;
-/// How long the time-out of an idle connection is undercut: what is sent on one that the upstream is about to
-/// close ends as a reset, and the upstream counts from its last byte, not from when we read it.
-const IDLE_MARGIN: Duration = Duration::from_millis(250);
 /// How long a connection may take to be ready for its next request once an answer has been read whole.
 const SETTLE: Duration = Duration::from_millis(5);
 
-/// Tells how long an attempt will be waited for.
-pub const DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
 const DECLINED: HeaderName = HeaderName::from_static("srv-declined");
 
-/// Headers that belong to one connection and are not passed on.
-const HOP: [HeaderName; 8] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
-/// Takes out the headers that belong to one connection; the length of a body is framed anew.
-pub fn end_to_end(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|v| v.trim().parse().ok())
-        .collect();
-    for name in HOP.iter().chain(&named).chain(&[header::CONTENT_LENGTH, header::EXPECT]) {
-        headers.remove(name);
-    }
-}
-
 /// One open connection; closed when dropped.
 struct Conn {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -87,68 +57,45 @@
     since: Instant,
 }
 
-/// One upstream: where it is, and the connections to it that carry nothing now.
-pub struct Upstream {
-    /// Where it listens.
-    pub addr: Cell<SocketAddr>,
-    /// After this nothing may be written to it: it drains or is gone, and the grace is over.
-    pub closes: Cell<Option<Instant>>,
+/// One upstream that speaks HTTP: where it is, and the connections to it that carry nothing now.
+struct Peer {
+    transport: Transport,
+    addr: Cell<SocketAddr>,
     /// Counts the processes that have been there.
     generation: Cell<u64>,
     idle: RefCell<Vec<Idle>>,
 }
 
-impl Upstream {
-    /// An upstream that nothing is connected to yet.
-    pub fn new(addr: SocketAddr) -> Rc<Upstream> {
-        let (addr, closes) = (Cell::new(addr), Cell::new(None));
-        Rc::new(Upstream { addr, closes, generation: Cell::new(0), idle: RefCell::default() })
+impl Upstream for Peer {
+    fn attempt(self: Rc<Self>, attempt: Attempt) -> Running {
+        Box::pin(async move { self.carry_out(attempt).await })
     }
 
-    /// Another process has taken its place: connections to the old one, those in use too, carry nothing more.
-    pub fn replaced(&self) {
+    fn replaced(&self, addr: SocketAddr) {
+        self.addr.set(addr);
         self.generation.set(self.generation.get() + 1);
         self.close_idle();
     }
 
-    /// Closes the connections that carry no call now.
-    pub fn close_idle(&self) {
+    fn close_idle(&self) {
         self.idle.borrow_mut().clear();
     }
 
-    /// Closes the connections that have been idle for longer than `most`, and those the other side closed.
-    pub fn sweep(&self, now: Instant, most: Duration) {
+    fn sweep(&self, now: Instant) {
+        let most = self.transport.idle();
         self.idle.borrow_mut().retain(|i| !i.conn.sender.is_closed() && now - i.since < most);
     }
 
-    /// Since when the connection that rested longest is idle.
-    pub fn oldest_idle(&self) -> Option<Instant> {
+    fn oldest_idle(&self) -> Option<Instant> {
         self.idle.borrow().first().map(|i| i.since)
     }
 
-    /// Closes the connection that rested longest.
-    pub fn drop_oldest(&self) {
+    fn drop_oldest(&self) {
         let mut idle = self.idle.borrow_mut();
         if !idle.is_empty() {
             idle.remove(0);
         }
     }
-
-    /// The connection used last: the others then go idle and close, instead of all being kept warm by turns.
-    fn take(&self, most: Duration) -> Option<Conn> {
-        let now = Instant::now();
-        let mut idle = self.idle.borrow_mut();
-        while let Some(i) = idle.pop() {
-            if now - i.since < most && i.conn.clean() {
-                return Some(i.conn);
-            }
-        }
-        None
-    }
-
-    fn closed(&self, now: Instant) -> bool {
-        self.closes.get().is_some_and(|at| now >= at)
-    }
 }
 
 /// What all attempts share.
@@ -156,31 +103,59 @@
 pub struct Transport {
     /// A connection that is not up after this long counts as refused.
     pub dial_timeout: Duration,
-    /// Connections are closed when idle for this long.
-    pub idle: Duration,
+    /// When upstreams close idle connections.
+    pub idle_close: Duration,
     /// Sockets that may still be opened.
     pub sockets: Sockets,
+    /// Sizes and waits.
+    pub limits: Live<Limits>,
 }
 
 impl Transport {
-    /// `idle_close` is when upstreams close idle connections.
-    pub fn new(dial_timeout: Duration, idle_close: Duration, sockets: Sockets) -> Self {
-        let idle = idle_close.saturating_sub(IDLE_MARGIN).max(idle_close / 2);
-        Transport { dial_timeout, idle, sockets }
+    /// An upstream that nothing is connected to yet.
+    pub fn upstream(&self, addr: SocketAddr) -> Rc<dyn Upstream> {
+        self.peer(addr)
     }
 
-    async fn dial(&self, to: &Upstream, until: Instant) -> Result<Conn, Ending> {
+    fn peer(&self, addr: SocketAddr) -> Rc<Peer> {
+        let (addr, generation) = (Cell::new(addr), Cell::new(0));
+        Rc::new(Peer { transport: self.clone(), addr, generation, idle: RefCell::default() })
+    }
+
+    /// How long connections may rest: the time-out of idle ones is undercut, for what is sent on one that the
+    /// upstream is about to close ends as a reset, and the upstream counts from its last byte, not from when we
+    /// read it.
+    fn idle(&self) -> Duration {
+        self.idle_close.saturating_sub(self.limits.get().upstream_idle_margin).max(self.idle_close / 2)
+    }
+}
+
+impl Peer {
+    /// The connection used last: the others then go idle and close, instead of all being kept warm by turns.
+    fn take(&self) -> Option<Conn> {
+        let (now, most) = (Instant::now(), self.transport.idle());
+        let mut idle = self.idle.borrow_mut();
+        while let Some(i) = idle.pop() {
+            if now - i.since < most && i.conn.clean() {
+                return Some(i.conn);
+            }
+        }
+        None
+    }
+
+    async fn dial(&self, until: Instant) -> Result<Conn, Ending> {
+        let shared = &self.transport;
         // Guards against blaming an upstream for a shortage of our own.
-        let permit = self.sockets.upstream().ok_or(Ending::Moot)?;
-        let until = until.min(Instant::now() + self.dial_timeout);
-        let generation = to.generation.get();
-        let dialled =
-            timeout_at(until, TcpStream::connect(to.addr.get())).await.map_err(|_| Ending::ConnectFailed)?;
+        let permit = shared.sockets.upstream().ok_or(Ending::Moot)?;
+        let until = until.min(Instant::now() + shared.dial_timeout);
+        let generation = self.generation.get();
+        let dialled = timeout_at(until, TcpStream::connect(self.addr.get())).await;
+        let dialled = dialled.map_err(|_| Ending::ConnectFailed)?;
         let stream = dialled.map_err(|e| if short(&e) { Ending::Moot } else { Ending::ConnectFailed })?;
         stream.set_nodelay(true).map_err(|_| Ending::ConnectFailed)?;
         let socket = Shared::new(stream);
         let io = TokioIo::new(socket.clone());
-        let made = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(io).await;
+        let made = http1::Builder::new().max_buf_size(shared.limits.get().head).handshake(io).await;
         let (sender, conn) = made.map_err(|_| Ending::ConnectFailed)?;
         let task = tokio::task::spawn_local(async move {
             // How the connection ended shows in the attempt that was on it.
@@ -190,31 +165,22 @@
     }
 
     /// Carries one attempt out: its request is written once at most. Dropping the future closes the connection.
-    pub async fn attempt(
-        &self,
-        to: Rc<Upstream>,
-        out: Rc<Outgoing>,
-        until: Instant,
-    ) -> (Ending, Option<Answer>) {
-        let mut request = match out.request() {
-            Ok(request) => request,
-            Err(_) => return (Ending::Moot, None),
-        };
+    async fn carry_out(&self, attempt: Attempt) -> Ended {
+        let Ok(mut request) = message(&attempt.request) else { return (Ending::Moot, None) };
+        let body_most = self.transport.limits.get().body;
         let (mut conn, answer) = loop {
-            let (mut conn, reused) = match to.take(self.idle) {
+            let (mut conn, reused) = match self.take() {
                 Some(conn) => (conn, true),
-                None => match self.dial(&to, until).await {
+                None => match self.dial(attempt.until).await {
                     Ok(conn) => (conn, false),
                     Err(ending) => return (ending, None),
                 },
             };
             let now = Instant::now();
-            // Guards against what was decided before dialling and must not be written after it: the upstream's
-            // grace, the attempt's time or the request itself may be over by now.
-            if to.closed(now) || now >= until || out.over.get() {
+            if !attempt.may_be_written(now) {
                 return (Ending::Moot, None);
             }
-            let left = (until - now).as_micros();
+            let left = (attempt.until - now).as_micros();
             if let Ok(left) = HeaderValue::try_from(format!("{left}u")) {
                 request.headers_mut().insert(DEADLINE, left);
             }
@@ -229,27 +195,28 @@
                 },
             }
         };
-        if !has_an_end(&answer) || answer.body().size_hint().lower() > BODY_MOST as u64 {
+        if !has_an_end(&answer) || answer.body().size_hint().lower() > body_most as u64 {
             return (Ending::Reset, None);
         }
         let ending = ending(&answer);
         let (head, body) = answer.into_parts();
-        let Ok(body) = Limited::new(body, BODY_MOST).collect().await else { return (Ending::Reset, None) };
+        let Ok(body) = Limited::new(body, body_most).collect().await else { return (Ending::Reset, None) };
         // Back before the outcome is told: what the module sends next may go on this connection.
         if let Ok(Ok(())) = timeout(SETTLE, conn.sender.ready()).await {
-            if !to.closed(Instant::now()) && conn.generation == to.generation.get() && conn.clean() {
-                to.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
+            let open = !attempt.gate.closed(Instant::now());
+            if open && conn.generation == self.generation.get() && conn.clean() {
+                self.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
             }
         }
         let answer = match ending {
             Ending::Ok => {
                 let mut headers = head.headers;
                 end_to_end(&mut headers);
-                Some(Answer::Served { headers, body: body.to_bytes() })
+                Some(Answer::Served { fields: fields(&headers), body: body.to_bytes() })
             }
             // Guards against callers whose bad input makes upstreams look bad: it says nothing about the upstream,
             // and sent to another it would be turned away again.
-            Ending::Cancelled => Some(Answer::Unusable(head.status)),
+            Ending::Cancelled => Some(Answer::Unusable(head.status.as_u16())),
             _ => None,
         };
         (ending, answer)
@@ -284,27 +251,26 @@
     }
 }
 
-impl Outgoing {
-    fn request(&self) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
-        let mut request = Request::builder()
-            .method(self.method.clone())
-            .uri(self.target.clone())
-            .body(Full::new(self.body.clone()))?;
-        *request.headers_mut() = self.headers.clone();
-        Ok(request)
-    }
+/// A request as HTTP writes it.
+fn message(request: &crate::exchange::Request) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+    let message = Request::builder().method(method(request.method)).uri(&*request.target);
+    let mut message = message.body(Full::new(request.body.clone()))?;
+    *message.headers_mut() = headers(&request.fields);
+    Ok(message)
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use hyper::{Method, Uri};
+    use crate::exchange::{Fields, Gate, Method};
     use std::io::{Read, Write};
     use std::net::TcpListener;
     use tokio::task::LocalSet;
 
     fn transport(sockets: Sockets) -> Transport {
-        Transport::new(Duration::from_secs(5), Duration::from_secs(60), sockets)
+        let limits = Live::new(Limits::default());
+        let (dial_timeout, idle_close) = (Duration::from_secs(5), Duration::from_secs(60));
+        Transport { dial_timeout, idle_close, sockets, limits }
     }
 
     fn alone(test: impl std::future::Future<Output = ()>) {
@@ -324,8 +290,8 @@
                 let (transport, listener) = (transport.clone(), listener.try_clone().expect("a listener"));
                 async move {
                     let until = Instant::now() + Duration::from_secs(5);
-                    let upstream = Upstream::new(addr);
-                    let mut conn = transport.dial(&upstream, until).await.expect("connects");
+                    let upstream = transport.peer(addr);
+                    let mut conn = upstream.dial(until).await.expect("connects");
                     let (mut peer, _) = listener.accept().expect("accepts");
                     conn.sender.ready().await.expect("it is open");
                     upstream.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
@@ -333,7 +299,7 @@
                         Some(extra) => peer.write_all(extra).expect("writes"),
                         None => drop(peer.shutdown(std::net::Shutdown::Both)),
                     }
-                    let taken = upstream.take(Duration::from_secs(60)).is_some();
+                    let taken = upstream.take().is_some();
                     drop(peer);
                     taken
                 }
@@ -351,17 +317,18 @@
             let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
             let sockets = Sockets::new(64);
             let all: Vec<_> = std::iter::from_fn(|| sockets.upstream()).collect();
-            let out = Outgoing {
+            let request = crate::exchange::Request {
                 name: None,
-                method: Method::GET,
-                target: Uri::from_static("/api"),
-                headers: HeaderMap::new(),
+                method: Method::Get,
+                target: "/api".into(),
+                fields: Fields::default(),
                 body: Bytes::new(),
                 over: Cell::new(false),
             };
-            let to = Upstream::new(listener.local_addr().expect("an address"));
+            let to = transport(sockets).upstream(listener.local_addr().expect("an address"));
             let until = Instant::now() + Duration::from_secs(5);
-            let (ending, _) = transport(sockets).attempt(to, Rc::new(out), until).await;
+            let attempt = Attempt { request: Rc::new(request), gate: Rc::new(Gate::default()), until };
+            let (ending, _) = to.attempt(attempt).await;
             assert_eq!(ending, Ending::Moot);
             drop(all);
             listener.set_nonblocking(true).expect("a listener");
--- a/crates/herondock/tests/callers.rs
+++ b/crates/herondock/tests/callers.rs
@@ -10,7 +10,8 @@
 
 #[test]
 fn silent_callers_and_halves_of_requests_are_not_kept() {
-    let node = Node::with(&[Upstream::start(|_| ok("x")).addr]);
+    let upstream = Upstream::start(|_| ok("x"));
+    let node = with(&[upstream.addr]);
     let started = Instant::now();
     let half_body = pay("r1", "15000m").replace("body", "b");
     let half_head = get("r2", "15000m").replace("\r\n\r\n", "\r\n");
@@ -29,7 +30,7 @@
 #[test]
 fn a_request_with_two_framings_is_turned_away_with_what_it_hides() {
     let upstream = Upstream::start(|_| ok("x"));
-    let node = Node::with(&[upstream.addr]);
+    let node = with(&[upstream.addr]);
     let hidden = get("hidden", "5000m");
     let chunks = "4\r\nbody\r\n0\r\n\r\n";
     for framing in [
@@ -57,7 +58,7 @@
 #[test]
 fn nothing_is_read_behind_what_was_turned_away() {
     let upstream = Upstream::start(|_| ok("x"));
-    let node = Node::with(&[upstream.addr]);
+    let node = with(&[upstream.addr]);
     let behind = get("behind", "5000m");
     let long = format!("X-Long: {}\r\n\r\n", "x".repeat(40 << 10));
     let with_body = get("r1", "5000m").replace("\r\n\r\n", "\r\nContent-Length: 4\r\n\r\nbody");
@@ -88,7 +89,7 @@
         Some(word) => Then::Hold(word, answer.into()),
         None => ok("later"),
     });
-    let node = Node::with(&[upstream.addr]);
+    let node = with(&[upstream.addr]);
     let mut first = node.client_that_sent(&pay("r1", "15000m"));
     upstream.request();
     assert_eq!(node.client().call(&pay("r1", "15000m")).status(), 409);
@@ -103,7 +104,7 @@
 fn silent_callers_by_the_hundred_do_not_shut_out_good_ones() {
     let upstream = Upstream::start(|_| ok("x"));
     let known = listing(1, true, &[(0, upstream.addr, "active")]);
-    let node = Node::start(64, &known);
+    let node = start(64, &known);
     let mut kept = node.client();
     assert_eq!(kept.call(&get("r0", "10000m")).status(), 200);
     // More than there are places: those that came first and asked for nothing make way.
@@ -139,7 +140,7 @@
         Some(word) => Then::Hold(word, answer.into()),
         None => ok("later"),
     });
-    let mut node = Node::with(&[upstream.addr]);
+    let mut node = with(&[upstream.addr]);
     let second = get("r2", "15000m");
     let (start, rest) = second.split_at(40);
     let mut client = node.client_that_sent(&format!("{}{start}", get("r1", "15000m")));
--- a/crates/herondock/tests/sockets.rs
+++ b/crates/herondock/tests/sockets.rs
@@ -14,7 +14,7 @@
 #[test]
 fn a_request_goes_on_unchanged_and_so_does_its_answer() {
     let upstream = Upstream::start(|_| ok("the answer"));
-    let node = Node::with(&[upstream.addr]);
+    let node = with(&[upstream.addr]);
     let mut client = node.client();
     assert_eq!(client.call("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
     let answer = client.call(
@@ -33,7 +33,7 @@
 #[test]
 fn requests_one_after_another_share_one_connection() {
     let upstream = Upstream::start(|_| ok("x"));
-    let node = Node::with(&[upstream.addr]);
+    let node = with(&[upstream.addr]);
     let mut client = node.client();
     for i in 0..20 {
         assert_eq!(client.call(&get(&format!("r{i}"), "5000m")).status(), 200);
@@ -44,7 +44,7 @@
 #[test]
 fn bad_input_is_answered_here_and_hurts_nobody_else() {
     let upstream = Upstream::start(|_| ok("x"));
-    let node = Node::with(&[upstream.addr]);
+    let node = with(&[upstream.addr]);
     let good = get("r1", "5000m");
     let mut client = node.client();
     for (from, to, status) in [
@@ -83,7 +83,7 @@
 fn only_a_marked_refusal_proves_that_nothing_ran() {
     let behave = first_then_ok(|| status("503 Service Unavailable\r\nSrv-Declined: 1"));
     let (a, b) = (Upstream::start(behave.clone()), Upstream::start(behave));
-    let node = Node::with(&[a.addr, b.addr]);
+    let node = with(&[a.addr, b.addr]);
     assert_eq!(node.client().call(&pay("r1", "5000m")).status(), 200);
     assert_eq!(a.further() + b.further(), 2);
 
@@ -97,7 +97,7 @@
     ] {
         let behave = first_then_ok(first);
         let (a, b) = (Upstream::start(behave.clone()), Upstream::start(behave));
-        let node = Node::with(&[a.addr, b.addr]);
+        let node = with(&[a.addr, b.addr]);
         // It may have run: neither another attempt nor a refusal, which would invite one.
         assert_eq!(node.client().call(&pay("r1", "5000m")).status(), 502);
         assert_eq!(a.further() + b.further(), 1);
@@ -107,7 +107,7 @@
 #[test]
 fn a_refused_connection_is_no_attempt() {
     let upstream = Upstream::start(|_| ok("x"));
-    let node = Node::with(&[refusing(), upstream.addr]);
+    let node = with(&[refusing(), upstream.addr]);
     let mut client = node.client();
     for i in 0..10 {
         assert_eq!(client.call(&pay(&format!("r{i}"), "5000m")).status(), 200);
@@ -119,7 +119,7 @@
 fn a_connection_closed_while_it_rested_costs_no_request() {
     let upstream =
         Upstream::start(|_| Then::AnswerAndClose("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx".into()));
-    let node = Node::with(&[upstream.addr]);
+    let node = with(&[upstream.addr]);
     let mut client = node.client();
     node.discovery.called();
     assert_eq!(client.call("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
@@ -137,7 +137,7 @@
     let silent =
         || Upstream::start(|m| if m.header("req-id") == Some("late") { Then::Wait } else { ok("x") });
     let upstream = silent();
-    let node = Node::with(&[upstream.addr]);
+    let node = with(&[upstream.addr]);
     let mut client = node.client();
     assert_eq!(client.call(&pay("late", "300m")).status(), 502);
     upstream.request();
@@ -150,7 +150,7 @@
 #[test]
 fn an_attempt_is_called_off_when_its_client_has_gone() {
     let upstream = Upstream::start(|m| if m.header("req-id") == Some("gone") { Then::Wait } else { ok("x") });
-    let node = Node::with(&[upstream.addr]);
+    let node = with(&[upstream.addr]);
     let mut client = node.client();
     client.send(&pay("gone", "20000m"));
     upstream.request();
@@ -162,7 +162,7 @@
 #[test]
 fn a_refusal_comes_at_once_and_says_when_to_return() {
     // Nobody is known to serve it, and its deadline is far off.
-    let node = Node::start(1024, "null");
+    let node = start(1024, "null");
     let mut client = node.client();
     assert_eq!(client.call("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 503);
     let started = std::time::Instant::now();
@@ -176,7 +176,7 @@
 #[test]
 fn the_watch_follows_versions_and_bad_answers_change_nothing() {
     let (old, new) = (Upstream::start(|_| ok("old")), Upstream::start(|_| ok("new")));
-    let node = Node::start(1024, &listing(5, true, &[(0, old.addr, "active")]));
+    let node = start(1024, &listing(5, true, &[(0, old.addr, "active")]));
     let discovery = &node.discovery;
     let mut client = node.client();
     let mut ask = |id: &str| String::from_utf8(client.call(&get(id, "5000m")).body).expect("text");
@@ -228,7 +228,7 @@
         None => ok("old"),
     });
     let new = Upstream::start(|_| ok("new"));
-    let mut node = Node::start(1024, &listing(41, true, &[(0, old.addr, "active")]));
+    let mut node = start(1024, &listing(41, true, &[(0, old.addr, "active")]));
     assert!(node.discovery.called().starts_with("/api/targets?since=41&"));
     let mut client = node.client();
     client.send(&get("r1", "15000m"));
@@ -265,7 +265,7 @@
 fn idle_callers_make_way_for_new_ones() {
     let upstream = Upstream::start(|_| ok("x"));
     let known = listing(1, true, &[(0, upstream.addr, "active")]);
-    let node = Node::start(64, &known);
+    let node = start(64, &known);
     // Far more kept connections than descriptors: the one that rested longest is closed for the next.
     let mut clients: Vec<Client> = Vec::new();
     for i in 0..100 {
@@ -282,7 +282,7 @@
     let known = listing(1, true, &[(0, upstream.addr, "active")]);
     let discovery = Discovery::start();
     // The configuration promises more than the system gives: accepting fails, and goes on.
-    let limited = limited_command(&config(discovery.addr, 1024, &known), 32);
+    let limited = program().limited_command(&config(discovery.addr, 1024, &known), 32);
     let node = Node::run(limited, discovery);
     let mut clients: Vec<Client> = Vec::new();
     for i in 0..60 {
@@ -302,7 +302,7 @@
 #[test]
 fn a_connection_that_never_comes_up_is_no_attempt() {
     let full = Unreachable::start();
-    let node = Node::with(&[full.addr]);
+    let node = with(&[full.addr]);
     // Nothing went out, so another try does no harm: a refusal, also for what must not run twice.
     assert_eq!(node.client().call(&pay("r1", "20000m")).status(), 503);
 }
@@ -347,7 +347,7 @@
 
 #[test]
 fn a_watch_survives_connections_that_discovery_closes() {
-    let node = Node::start(1024, "null");
+    let node = start(1024, "null");
     node.discovery.called();
     let upstream = Upstream::start(|_| ok("x"));
     node.discovery.answer_with("Connection: close\r\n", &listing(1, true, &[(0, upstream.addr, "active")]));
@@ -367,7 +367,7 @@
         Some(hold) => Then::Hold(hold, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nheld".into()),
         None => ok("x"),
     });
-    let mut node = Node::with(&[upstream.addr]);
+    let mut node = with(&[upstream.addr]);
     let (mut early, mut kept) = (node.client(), node.client());
     early.send(&pay("early", "20000m"));
     upstream.request();
@@ -409,7 +409,7 @@
 #[test]
 fn callers_that_say_nothing_do_not_hold_up_the_end() {
     let upstream = Upstream::start(|_| ok("x"));
-    let mut node = Node::with(&[upstream.addr]);
+    let mut node = with(&[upstream.addr]);
     let _silent = node.client();
     let mut half = node.client();
     half.send("GET /api HTTP/1.1\r\nReq-Id: r1\r\n");
--- a/crates/herondock/tests/upstreams.rs
+++ b/crates/herondock/tests/upstreams.rs
@@ -9,7 +9,7 @@
         Some("bad") => Then::Answer(text.clone()),
         _ => ok("good"),
     });
-    let node = Node::with(&[upstream.addr]);
+    let node = with(&[upstream.addr]);
     let mut client = node.client();
     assert_eq!(client.call(&pay("bad", "15000m")).status(), 502, "{answer:.200}");
     assert_eq!(client.call(&pay("next", "15000m")).body, b"good", "{answer:.200}");
@@ -44,7 +44,7 @@
         Some("r1") => Then::Answer(twice.clone()),
         _ => ok("two"),
     });
-    let node = Node::with(&[upstream.addr]);
+    let node = with(&[upstream.addr]);
     let mut client = node.client();
     assert_eq!(client.call(&pay("r1", "15000m")).body, b"one");
     assert_eq!(client.call(&pay("r2", "15000m")).body, b"two");
@@ -56,7 +56,7 @@
     let upstream = Upstream::start(move |_| {
         Then::Answer(format!("{ahead}HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"))
     });
-    let node = Node::with(&[upstream.addr]);
+    let node = with(&[upstream.addr]);
     let mut client = node.client();
     for id in ["r1", "r2"] {
         assert_eq!(client.call(&pay(id, "15000m")).body, b"one");
@@ -69,7 +69,7 @@
         Some("odd") => status("404 Not Found"),
         _ => ok("good"),
     });
-    let node = Node::with(&[upstream.addr]);
+    let node = with(&[upstream.addr]);
     let mut client = node.client();
     // It is not sent again, though it may be repeated, and its caller is told.
     assert_eq!(client.call(&get("odd", "15000m")).status(), 404);
--- /dev/null
+++ b/crates/settings/src/operator.rs
@@ -0,0 +1,400 @@
+//! The operator's file: TOML, one table for each subsystem, every key optional, unknown keys refused.
+//!
+//! Times are written with their unit (`250ms`, `10s`, `2m`) and sizes too (`256B`, `64KiB`, `1MiB`). Whatever is
+//! wrong is named with line, column and field. `deploy/herondock.example.toml` documents every key.
+use serde::Deserialize;
+use std::fmt;
+use std::fs::File;
+use std::io::{ErrorKind, Read};
+use std::path::Path;
+use std::time::Duration;
+use toml::Spanned;
+
+/// Largest operator's file that is read.
+pub const FILE_MOST: u64 = 1 << 20;
+/// How often a file that changes while it is read is read again.
+const READS: usize = 5;
+
+/// What is wrong with a file, and where.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    /// Counted from 1; 0 where the whole file is at fault.
+    pub line: usize,
+    /// In characters, counted from 1.
+    pub column: usize,
+    /// The path of the key; empty where there is none.
+    pub field: String,
+    /// What is wrong.
+    pub what: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.line > 0 {
+            write!(f, "{}:{}: ", self.line, self.column)?;
+        }
+        if !self.field.is_empty() {
+            write!(f, "{}: ", self.field)?;
+        }
+        write!(f, "{}", self.what)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// A value that the file writes as a number and a unit.
+trait Quantity: Copy + PartialOrd {
+    fn read(text: &str) -> Result<Self, String>;
+    fn show(self) -> String;
+}
+
+/// A whole number and one of the units; anything else is an error that lists them.
+fn number(text: &str, units: &[(&str, u64)], example: &str) -> Result<u64, String> {
+    let digits = text.bytes().take_while(u8::is_ascii_digit).count();
+    let (digits, unit) = text.split_at(digits);
+    let factor = units.iter().find(|(name, _)| *name == unit).map(|&(_, factor)| factor);
+    let names: Vec<&str> = units.iter().map(|&(name, _)| name).collect();
+    match (digits.is_empty(), factor) {
+        (false, Some(factor)) => {
+            let value = digits.parse::<u64>().ok().and_then(|n| n.checked_mul(factor));
+            value.ok_or_else(|| format!("{text:?} is too large"))
+        }
+        _ => Err(format!(
+            "{text:?} is no whole number with a unit ({}), such as {example:?}",
+            names.join(", ")
+        )),
+    }
+}
+
+impl Quantity for Duration {
+    fn read(text: &str) -> Result<Duration, String> {
+        let units = [("ms", 1), ("s", 1000), ("m", 60_000)];
+        number(text, &units, "250ms").map(Duration::from_millis)
+    }
+
+    fn show(self) -> String {
+        match self.as_millis() {
+            ms if ms % 1000 == 0 => format!("{}s", ms / 1000),
+            ms => format!("{ms}ms"),
+        }
+    }
+}
+
+impl Quantity for usize {
+    fn read(text: &str) -> Result<usize, String> {
+        let units = [("B", 1), ("KiB", 1 << 10), ("MiB", 1 << 20)];
+        let bytes = number(text, &units, "64KiB")?;
+        usize::try_from(bytes).map_err(|_| format!("{text:?} is too large"))
+    }
+
+    fn show(self) -> String {
+        match self {
+            b if b >= 1 << 20 && b % (1 << 20) == 0 => format!("{}MiB", b >> 20),
+            b if b >= 1 << 10 && b % (1 << 10) == 0 => format!("{}KiB", b >> 10),
+            b => format!("{b}B"),
+        }
+    }
+}
+
+/// One table: its keys with type, default, bounds, and whether they may change while the program runs.
+macro_rules! table {
+    ($(#[$about:meta])* $name:ident, $raw:ident, $path:literal, {
+        $($(#[$doc:meta])* $field:ident: $kind:ty = $default:expr, $least:expr, $most:expr, live: $live:literal;)*
+    }) => {
+        $(#[$about])*
+        #[derive(Clone, Debug, PartialEq)]
+        pub struct $name {
+            $($(#[$doc])* pub $field: $kind,)*
+        }
+
+        impl Default for $name {
+            fn default() -> Self {
+                $name { $($field: $default,)* }
+            }
+        }
+
+        #[derive(Deserialize, Default)]
+        #[serde(deny_unknown_fields)]
+        struct $raw {
+            $($field: Option<Spanned<String>>,)*
+        }
+
+        impl $raw {
+            fn resolve(self, text: &str) -> Result<$name, Fault> {
+                let d = $name::default();
+                Ok($name {
+                    $($field: quantity(
+                        text, concat!($path, ".", stringify!($field)), self.$field, d.$field, $least, $most,
+                    )?,)*
+                })
+            }
+        }
+
+        impl $name {
+            /// Every key of the table with its default, as the file writes it.
+            pub fn defaults() -> Vec<(&'static str, String)> {
+                let d = $name::default();
+                vec![$((stringify!($field), d.$field.show()),)*]
+            }
+
+            /// The keys that differ from `next` and can't change while the program runs.
+            fn fixed(&self, next: &$name) -> Vec<&'static str> {
+                let mut names = Vec::new();
+                $(if !$live && self.$field != next.$field {
+                    names.push(concat!($path, ".", stringify!($field)));
+                })*
+                names
+            }
+        }
+    };
+}
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+table! {
+    /// Sizes and waits at the sockets, towards callers and upstreams.
+    Limits, RawLimits, "limits", {
+        /// Largest head of a message, both ways.
+        head: usize = 16 << 10, 8 << 10, 1 << 20, live: false;
+        /// Largest body, both ways.
+        body: usize = 64 << 10, 1 << 10, 64 << 20, live: true;
+        /// Longest id of a request.
+        request_id: usize = 256, 16, 4 << 10, live: true;
+        /// Largest list of members that is accepted from a source.
+        list: usize = 4 << 20, 64 << 10, 64 << 20, live: true;
+        /// How long a caller has for a request, counted from its connection or, on a kept one, from its first byte.
+        request_wait: Duration = ms(2500), ms(10), ms(600_000), live: true;
+        /// How long a caller that has been answered may keep its connection unused.
+        idle_wait: Duration = ms(10_000), ms(10), ms(3_600_000), live: true;
+        /// How long a connection that is to close, and owes no answer, has to take what was written.
+        flush_wait: Duration = ms(2000), ms(10), ms(60_000), live: true;
+        /// For how long what a caller goes on sending after it was turned away is read.
+        linger_wait: Duration = ms(500), ms(0), ms(60_000), live: true;
+        /// And how much of it.
+        linger: usize = 1 << 20, 0, 64 << 20, live: true;
+        /// When a caller may come again that found as many requests open as may be.
+        full_pause: Duration = ms(500), ms(1), ms(60_000), live: true;
+        /// How much sooner than the upstream would close it an idle connection is dropped.
+        upstream_idle_margin: Duration = ms(250), ms(0), ms(60_000), live: true;
+    }
+}
+
+/// All that the operator's file says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Operator {
+    /// `[limits]`
+    pub limits: Limits,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields)]
+struct Raw {
+    #[serde(default)]
+    limits: RawLimits,
+}
+
+impl Operator {
+    /// The keys in which `next` differs and that can't change while the program runs.
+    pub fn fixed(&self, next: &Operator) -> Vec<&'static str> {
+        self.limits.fixed(&next.limits)
+    }
+}
+
+fn quantity<T: Quantity>(
+    text: &str,
+    field: &str,
+    given: Option<Spanned<String>>,
+    default: T,
+    least: T,
+    most: T,
+) -> Result<T, Fault> {
+    let Some(given) = given else { return Ok(default) };
+    let fault = |what| {
+        let (line, column) = place(text, given.span().start);
+        Fault { line, column, field: field.into(), what }
+    };
+    let value = T::read(given.get_ref()).map_err(fault)?;
+    if (least..=most).contains(&value) {
+        return Ok(value);
+    }
+    Err(fault(format!("{} is not between {} and {}", given.get_ref(), least.show(), most.show())))
+}
+
+/// Line and column of a byte of the text.
+fn place(text: &str, at: usize) -> (usize, usize) {
+    let before = text.get(..at).unwrap_or(text);
+    let line_start = before.rfind('\n').map_or(0, |n| n + 1);
+    (before.matches('\n').count() + 1, before[line_start..].chars().count() + 1)
+}
+
+/// Reads the text of a file.
+///
+/// # Errors
+/// The first fault, with its place.
+pub fn parse(bytes: &[u8]) -> Result<Operator, Fault> {
+    let text = std::str::from_utf8(bytes).map_err(|e| {
+        let good = std::str::from_utf8(&bytes[..e.valid_up_to()]).unwrap_or_default();
+        let (line, column) = place(good, good.len());
+        Fault { line, column, field: String::new(), what: "is not UTF-8".into() }
+    })?;
+    let fault = |error: &toml::de::Error, path: String| {
+        let (line, column) = error.span().map_or((0, 0), |span| place(text, span.start));
+        Fault { line, column, field: path, what: error.message().trim().replace('\n', " ") }
+    };
+    let reader = toml::Deserializer::parse(text).map_err(|e| fault(&e, String::new()))?;
+    let raw: Raw = serde_path_to_error::deserialize(reader).map_err(|e| {
+        // A value that keeps its place has a path of its own inside; an unknown key ends in itself.
+        let path: Vec<String> = e.path().iter().map(ToString::to_string).collect();
+        let path: Vec<String> = path.into_iter().filter(|p| !p.contains('$') && p != "?").collect();
+        fault(e.inner(), path.join("."))
+    })?;
+    Ok(Operator { limits: raw.limits.resolve(text)? })
+}
+
+/// Reads a file whole that may be replaced meanwhile: what is returned stood in it at one time.
+///
+/// # Errors
+/// It is no regular file, holds more than `most` bytes, can't be read, or goes on changing.
+pub fn read_whole(path: &Path, most: u64) -> Result<Vec<u8>, String> {
+    let plain = |e: std::io::Error| e.to_string();
+    // Before it is opened: opening a pipe would wait for its writer.
+    let kind = std::fs::metadata(path).map_err(plain)?;
+    if kind.is_dir() {
+        return Err("is a directory".into());
+    }
+    if !kind.is_file() {
+        return Err("is no regular file".into());
+    }
+    for _ in 0..READS {
+        let mut file = File::open(path).map_err(plain)?;
+        let before = file.metadata().map_err(plain)?;
+        let mut bytes = Vec::new();
+        match file.by_ref().take(most + 1).read_to_end(&mut bytes) {
+            Ok(_) => {}
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            Err(e) => return Err(e.to_string()),
+        }
+        if bytes.len() as u64 > most {
+            return Err(format!("holds more than {most} bytes"));
+        }
+        let after = file.metadata().map_err(plain)?;
+        // Guards against the half of a file that is being written in place: replaced by renaming it is whole.
+        let same = before.modified().ok() == after.modified().ok() && after.len() == bytes.len() as u64;
+        if same {
+            return Ok(bytes);
+        }
+    }
+    Err("changes while it is read".into())
+}
+
+/// Reads the operator's file.
+///
+/// # Errors
+/// One line: the file's path, then line and column where there are any, the field, and what is wrong.
+pub fn read(path: &Path) -> Result<Operator, String> {
+    let named = |what: String| format!("{}: {what}", path.display());
+    let bytes = read_whole(path, FILE_MOST).map_err(named)?;
+    parse(&bytes).map_err(|fault| match fault.line {
+        0 => named(fault.to_string()),
+        _ => format!("{}:{fault}", path.display()),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn error(text: &str) -> String {
+        parse(text.as_bytes()).expect_err(text).to_string()
+    }
+
+    #[test]
+    fn what_is_absent_has_its_default() {
+        assert_eq!(parse(b"").expect("empty"), Operator::default());
+        assert_eq!(parse(b"[limits]\n").expect("an empty table"), Operator::default());
+        let some = parse(b"[limits]\nbody = \"128KiB\"\nidle_wait = \"1m\"\n").expect("two keys").limits;
+        assert_eq!((some.body, some.idle_wait), (128 << 10, Duration::from_secs(60)));
+        assert_eq!(some.head, Limits::default().head);
+    }
+
+    #[test]
+    fn what_is_wrong_is_named_with_its_place() {
+        for (text, place, field) in [
+            ("[limits]\nbady = \"1KiB\"\n", "2:1: ", "bady"),
+            ("[limit]\n", "1:2: ", "limit"),
+            ("[limits]\nbody = 7\n", "2:8: ", "limits.body"),
+            ("[limits]\nbody = [\"1KiB\"]\n", "2:8: ", "limits.body"),
+            ("[limits]\n  idle_wait = \"10 s\"\n", "2:15: ", "limits.idle_wait"),
+            ("[limits]\nidle_wait = \"10h\"\n", "2:13: ", "limits.idle_wait"),
+            ("[limits]\nidle_wait = \"s\"\n", "2:13: ", "limits.idle_wait"),
+            ("[limits]\nidle_wait = \"-1s\"\n", "2:13: ", "limits.idle_wait"),
+            ("[limits]\nidle_wait = \"99999999999999999999s\"\n", "2:13: ", "limits.idle_wait"),
+            ("[limits]\nidle_wait = \"9999999999999999999m\"\n", "2:13: ", "limits.idle_wait"),
+            ("[limits]\nhead = \"2MiB\"\n", "2:8: ", "limits.head"),
+            ("[limits]\nbody = \"1KiB\"\nbody = \"2KiB\"\n", "3:1: ", "duplicate"),
+            ("[limits\n", "1:", ""),
+            ("# \u{e9}\u{e9}\nlimits = 3\n", "2:10: ", "limits"),
+        ] {
+            let error = error(text);
+            assert!(error.starts_with(place) && error.contains(field), "{text:?}: {error}");
+            assert_eq!(error.lines().count(), 1, "{error}");
+        }
+        let bytes = parse(b"[limits]\n# \xff\n").expect_err("not UTF-8").to_string();
+        assert_eq!(bytes, "2:3: is not UTF-8");
+    }
+
+    #[test]
+    fn what_cannot_change_while_running_is_named() {
+        let next = parse(b"[limits]\nhead = \"32KiB\"\nbody = \"1MiB\"\n").expect("good");
+        assert_eq!(Operator::default().fixed(&next), ["limits.head"]);
+        assert!(next.fixed(&next.clone()).is_empty());
+    }
+
+    /// Guards against a key that the example leaves out, and against a default that it states wrongly.
+    #[test]
+    fn the_example_documents_every_key_with_its_default() {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/herondock.example.toml");
+        assert_eq!(read(&path).expect("the example is good"), Operator::default());
+        let text = std::fs::read_to_string(path).expect("the example");
+        for (key, default) in Limits::defaults() {
+            assert!(text.contains(&format!("\n{key} = \"{default}\"\n")), "{key} = {default:?}");
+        }
+    }
+
+    #[test]
+    fn files_that_are_none_are_refused() {
+        let here = Path::new(env!("CARGO_MANIFEST_DIR"));
+        assert!(read(here).expect_err("a directory").ends_with("is a directory"));
+        assert!(read(&here.join("none")).is_err());
+        assert!(read(Path::new("/dev/zero")).expect_err("endless").ends_with("is no regular file"));
+        let large = std::env::temp_dir().join(format!("herondock-large-{}.toml", std::process::id()));
+        std::fs::write(&large, vec![b'#'; 10 << 20]).expect("writes");
+        let error = read(&large).expect_err("10 MiB");
+        std::fs::remove_file(&large).expect("removes");
+        assert!(error.ends_with("holds more than 1048576 bytes"), "{error}");
+    }
+
+    /// Guards against a mixture of an old and a new file: one writer replaces it all the time.
+    #[test]
+    fn a_file_that_is_replaced_meanwhile_is_read_whole() {
+        let path = std::env::temp_dir().join(format!("herondock-replaced-{}.toml", std::process::id()));
+        let text = |wait: &str| format!("# {}\n[limits]\nrequest_wait = \"{wait}\"\n", wait.repeat(20_000));
+        let both = ["1s", "22s"];
+        let replace = |n: usize| {
+            let next = path.with_extension("next");
+            std::fs::write(&next, text(both[n % 2])).and_then(|()| std::fs::rename(&next, &path))
+        };
+        replace(0).expect("writes");
+        std::thread::scope(|scope| {
+            let writer = scope.spawn(|| (1..200).all(|n| replace(n).is_ok()));
+            while !writer.is_finished() {
+                let got = read(&path).expect("one of the two").limits.request_wait;
+                assert!(got == Duration::from_secs(1) || got == Duration::from_secs(22), "{got:?}");
+            }
+            assert!(writer.join().expect("no panic"));
+        });
+        std::fs::remove_file(&path).expect("removes");
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/caller.rs
@@ -0,0 +1,259 @@
+//! Callers: a plain client for single messages, and one that retries as the platform's do.
+use crate::ledger::{Effect, Entry, Ledger};
+use crate::message::{read, Message};
+use crate::PATIENCE;
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// One connection of a client.
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    /// `None`: nobody listens.
+    pub fn connect(addr: SocketAddr) -> Option<Client> {
+        let stream = TcpStream::connect(addr).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        Some(Client(BufReader::new(stream)))
+    }
+
+    /// Writes this.
+    pub fn send(&mut self, text: &str) {
+        // A connection that was closed shows in the answer.
+        let _ = self.0.get_mut().write_all(text.as_bytes());
+    }
+
+    /// The next answer; `None` when the connection ended.
+    pub fn answer(&mut self) -> Option<Message> {
+        read(&mut self.0)
+    }
+
+    /// Writes this and returns the answer.
+    pub fn call(&mut self, text: &str) -> Message {
+        self.send(text);
+        self.answer().expect("an answer")
+    }
+}
+
+/// What a caller wants done: a first try and its retries.
+#[derive(Clone, Debug)]
+pub struct Operation {
+    /// The class.
+    pub class: String,
+    /// The tenant.
+    pub owner: String,
+    /// What a repeat may do.
+    pub effect: Effect,
+    /// How long it waits over all its tries.
+    pub deadline: Duration,
+    /// The part of that which one try may take.
+    pub try_part: f64,
+    /// How often it tries again.
+    pub retries: u32,
+    /// How long it waits before that; more if the refusal asks for it.
+    pub pause: Duration,
+}
+
+impl Default for Operation {
+    /// A safe read of `club` with 6 s for all, 0.55 of that for a try, three retries, each at once.
+    fn default() -> Self {
+        Operation {
+            class: "read".into(),
+            owner: "club".into(),
+            effect: Effect::Safe,
+            deadline: Duration::from_secs(6),
+            try_part: 0.55,
+            retries: 3,
+            pause: Duration::ZERO,
+        }
+    }
+}
+
+/// What came of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    /// Served, so long after the first try began.
+    Served {
+        /// Time from the first try to the answer.
+        took: Duration,
+    },
+    /// The last try was refused.
+    Refused,
+    /// The last try failed.
+    Failed,
+    /// The last try got no answer.
+    Unanswered,
+    /// Nobody could be reached.
+    Unreached,
+}
+
+/// What came of an operation, and in how many tries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Done {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Requests that were sent.
+    pub tries: u32,
+}
+
+/// A caller that retries as the platform's do: up to so many times, at once or after a pause; after a refusal always,
+/// after a failure or silence only what may be repeated. Every try is a new request with a new id, a keyed one with
+/// the key of its operation. It keeps its connections, one request at a time on each, and writes into the ledger.
+pub struct Caller {
+    ledger: Arc<Ledger>,
+    balancers: Vec<(String, SocketAddr)>,
+    kept: HashMap<SocketAddr, BufReader<TcpStream>>,
+    random: u64,
+}
+
+/// Ids are told apart over all callers of a process, and by its number between processes.
+static NUMBER: AtomicU64 = AtomicU64::new(0);
+
+fn fresh_id() -> String {
+    format!("{:x}-{:x}", std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed))
+}
+
+enum Try {
+    Answer(Message),
+    /// The connection could not be made or ended before anything was sent on it.
+    Unreached,
+    /// It ended, or the time was up, with no whole answer.
+    Unanswered,
+}
+
+impl Caller {
+    /// A caller that knows no balancer yet. `seed` feeds its random choices.
+    pub fn new(ledger: Arc<Ledger>, seed: u64) -> Caller {
+        Caller { ledger, balancers: Vec::new(), kept: HashMap::new(), random: seed | 1 }
+    }
+
+    /// Adds a balancer, or changes where it is.
+    pub fn reach(&mut self, name: &str, addr: SocketAddr) {
+        self.leave(name);
+        self.balancers.push((name.into(), addr));
+    }
+
+    /// Takes a balancer out: nothing new goes there.
+    pub fn leave(&mut self, name: &str) {
+        self.balancers.retain(|(n, _)| n != name);
+    }
+
+    /// xorshift64: enough to spread connections.
+    fn draw(&mut self, n: usize) -> usize {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        (self.random % n.max(1) as u64) as usize
+    }
+
+    /// Carries an operation out, with its retries.
+    pub fn call(&mut self, operation: &Operation) -> Done {
+        let started = Instant::now();
+        let key = fresh_id();
+        let mut tries = 0;
+        loop {
+            let left = operation.deadline.saturating_sub(started.elapsed());
+            let patience = operation.deadline.mul_f64(operation.try_part).min(left);
+            let (outcome, pause) = match self.attempt(operation, &key, patience) {
+                Try::Unreached => (Outcome::Unreached, Duration::from_millis(20)),
+                Try::Unanswered => (Outcome::Unanswered, operation.pause),
+                Try::Answer(answer) => match answer.status() {
+                    200 => (Outcome::Served { took: started.elapsed() }, Duration::ZERO),
+                    429 | 503 => {
+                        let asked = answer.header("retry-after").and_then(|v| v.parse::<f64>().ok());
+                        let asked = asked.filter(|s| (0.0..=60.0).contains(s)).unwrap_or(0.0);
+                        (Outcome::Refused, operation.pause.max(Duration::from_secs_f64(asked)))
+                    }
+                    _ => (Outcome::Failed, operation.pause),
+                },
+            };
+            tries += u32::from(outcome != Outcome::Unreached);
+            let again = match outcome {
+                Outcome::Served { .. } => false,
+                Outcome::Refused => tries <= operation.retries,
+                Outcome::Failed | Outcome::Unanswered => {
+                    tries <= operation.retries && operation.effect != Effect::Unsafe
+                }
+                Outcome::Unreached => true,
+            };
+            if !again || started.elapsed() + pause >= operation.deadline {
+                return Done { outcome, tries };
+            }
+            // What a client does: it waits before it tries again.
+            thread::sleep(pause);
+        }
+    }
+
+    fn attempt(&mut self, operation: &Operation, key: &str, patience: Duration) -> Try {
+        if self.balancers.is_empty() || patience.is_zero() {
+            return Try::Unreached;
+        }
+        let chosen = self.draw(self.balancers.len());
+        let (balancer, addr) = self.balancers[chosen].clone();
+        let until = Instant::now() + patience;
+        let request = fresh_id();
+        let text = text(operation, key, &request, patience);
+        let mut written = false;
+        loop {
+            let kept = self.kept.remove(&addr);
+            let reused = kept.is_some();
+            let Some(mut stream) = kept.or_else(|| connect(addr, patience)) else {
+                return if written { Try::Unanswered } else { Try::Unreached };
+            };
+            if !std::mem::replace(&mut written, true) {
+                self.ledger.write(Entry::Sent {
+                    request: request.clone(),
+                    balancer: balancer.clone(),
+                    effect: operation.effect,
+                    patience,
+                });
+            }
+            let sent = stream.get_mut().write_all(text.as_bytes());
+            // A little longer than it promised to: whether an answer is late is the ledger's to judge.
+            let left = until.saturating_duration_since(Instant::now()) + Duration::from_millis(200);
+            let timed = stream.get_mut().set_read_timeout(Some(left));
+            let first = stream.fill_buf().map(|b| !b.is_empty());
+            match first {
+                Ok(true) if sent.is_ok() && timed.is_ok() => {}
+                // A balancer may close a connection between requests, and this one crossed that: once more, on a
+                // new one, as the same request. Silence is something else.
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                    return Try::Unanswered
+                }
+                _ if reused => continue,
+                _ => return Try::Unanswered,
+            }
+            let Some(answer) = read(&mut stream) else { return Try::Unanswered };
+            self.ledger.write(Entry::Answered { request, status: answer.status() });
+            if answer.header("connection").is_none_or(|c| !c.eq_ignore_ascii_case("close")) {
+                self.kept.insert(addr, stream);
+            }
+            return Try::Answer(answer);
+        }
+    }
+}
+
+fn connect(addr: SocketAddr, patience: Duration) -> Option<BufReader<TcpStream>> {
+    let stream = TcpStream::connect_timeout(&addr, patience).ok()?;
+    stream.set_nodelay(true).ok()?;
+    Some(BufReader::new(stream))
+}
+
+fn text(operation: &Operation, key: &str, request: &str, patience: Duration) -> String {
+    let (start, length, body) = match operation.effect {
+        Effect::Safe => ("GET /api/x", String::new(), ""),
+        Effect::Keyed => ("POST /api/x", format!("Idempotency-Key: {key}\r\nContent-Length: 4\r\n"), "body"),
+        Effect::Unsafe => ("POST /api/x", "Content-Length: 4\r\n".into(), "body"),
+    };
+    format!(
+        "{start} HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {request}\r\nReq-Kind: {}\r\nReq-Owner: {}\r\n\
+         Req-Deadline: {}u\r\n{length}\r\n{body}",
+        operation.class,
+        operation.owner,
+        patience.as_micros()
+    )
+}
--- /dev/null
+++ b/crates/testkit/src/discovery.rs
@@ -0,0 +1,204 @@
+//! Discovery in the platform's form: one that answers as it is told, and a registry that keeps a list.
+use crate::ledger::{Entry, Ledger, State};
+use crate::message::{read, Message};
+use crate::PATIENCE;
+use std::collections::BTreeMap;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Discovery that gives one prepared answer for each call, in order, and is silent without one.
+pub struct Discovery {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// The calls, as they come.
+    pub calls: Receiver<Message>,
+    answers: Sender<String>,
+}
+
+impl Discovery {
+    /// Discovery on a port of its own.
+    pub fn start() -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let addr = listener.local_addr().expect("an address");
+        let (answers, prepared) = channel::<String>();
+        let (tell, calls) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let mut stream = BufReader::new(stream);
+                while let Some(call) = read(&mut stream) {
+                    let _ = tell.send(call);
+                    let Ok(answer) = prepared.recv() else { return };
+                    let _ = stream.get_mut().write_all(answer.as_bytes());
+                    if answer.contains("Connection: close") {
+                        break;
+                    }
+                }
+            }
+        });
+        Discovery { addr, calls, answers }
+    }
+
+    /// Prepares an answer with this body.
+    pub fn answer(&self, body: &str) {
+        self.answer_with("", body);
+    }
+
+    /// The same with further headers, each with its line end.
+    pub fn answer_with(&self, headers: &str, body: &str) {
+        let text = format!("HTTP/1.1 200 OK\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len());
+        self.answers.send(text).expect("discovery runs");
+    }
+
+    /// Prepares a call that fails.
+    pub fn fail(&self) {
+        let text = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+        self.answers.send(text.into()).expect("discovery runs");
+    }
+
+    /// The next call's path.
+    pub fn called(&self) -> String {
+        self.calls.recv_timeout(PATIENCE).expect("a call").path().into()
+    }
+}
+
+/// One upstream as a registry lists it.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its group.
+    pub group: u32,
+    /// `active`, `leaving` or `left`.
+    pub state: &'static str,
+    /// When it started, in Unix milliseconds; 0 for long ago.
+    pub started_ms: u64,
+}
+
+fn line(name: &str, l: &Listed) -> String {
+    format!(
+        r#"{{"id":"{name}","addr":"{}","zone":"a","kind":"m","cell":{},"state":"{}","weight":1.0,"started_ms":{}}}"#,
+        l.addr, l.group, l.state, l.started_ms
+    )
+}
+
+/// A list in discovery's form.
+pub fn list<'a>(version: u64, full: bool, lines: impl Iterator<Item = (&'a str, &'a Listed)>) -> String {
+    let lines: Vec<String> = lines.map(|(name, listed)| line(name, listed)).collect();
+    format!(r#"{{"version":{version},"full":{full},"servers":[{}]}}"#, lines.join(","))
+}
+
+/// A list of upstreams that started long ago: number `n` has the id `s-n` and is in group 1.
+pub fn listing(version: u64, full: bool, servers: &[(usize, SocketAddr, &'static str)]) -> String {
+    let listed = |&(n, addr, state)| (format!("s-{n}"), Listed { addr, group: 1, state, started_ms: 0 });
+    let all: Vec<(String, Listed)> = servers.iter().map(listed).collect();
+    list(version, full, all.iter().map(|(name, listed)| (name.as_str(), listed)))
+}
+
+#[derive(Default)]
+struct View {
+    version: u64,
+    /// Each upstream, and the version that it last changed with.
+    listed: BTreeMap<String, (Listed, u64)>,
+}
+
+struct Board {
+    view: Mutex<View>,
+    changed: Condvar,
+    ledger: Option<Arc<Ledger>>,
+}
+
+/// A registry that keeps a list and answers calls and watches on it, at an address of its own for each balancer, so
+/// that the ledger knows who was told of what.
+#[derive(Clone)]
+pub struct Registry(Arc<Board>);
+
+impl Registry {
+    /// An empty list.
+    pub fn new(ledger: Option<Arc<Ledger>>) -> Registry {
+        Registry(Arc::new(Board { view: Mutex::default(), changed: Condvar::new(), ledger }))
+    }
+
+    fn view(&self) -> MutexGuard<'_, View> {
+        self.0.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lists an upstream, or changes what is listed of it.
+    pub fn set(&self, name: &str, listed: Listed) {
+        let mut view = self.view();
+        view.version += 1;
+        let version = view.version;
+        view.listed.insert(name.into(), (listed, version));
+        self.0.changed.notify_all();
+    }
+
+    /// Changes the state of an upstream that is listed.
+    pub fn state(&self, name: &str, state: &'static str) {
+        let listed = self.view().listed.get(name).map(|(l, _)| l.clone());
+        if let Some(listed) = listed {
+            self.set(name, Listed { state, ..listed });
+        }
+    }
+
+    /// Opens the address at which this balancer asks.
+    ///
+    /// # Errors
+    /// No port or no thread could be had.
+    pub fn open(&self, balancer: &str) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let addr = listener.local_addr()?;
+        let (registry, balancer) = (self.clone(), balancer.to_string());
+        thread::Builder::new().spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (registry, balancer) = (registry.clone(), balancer.clone());
+                thread::spawn(move || registry.serve(stream, &balancer));
+            }
+        })?;
+        Ok(addr)
+    }
+
+    fn serve(&self, stream: TcpStream, balancer: &str) {
+        let mut stream = BufReader::new(stream);
+        while let Some(call) = read(&mut stream) {
+            let (body, told) = self.answer(call.path());
+            let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            if stream.get_mut().write_all(text.as_bytes()).is_err() {
+                return;
+            }
+            for (upstream, state) in told {
+                let state = if state == "active" { State::Ready } else { State::Closed };
+                if let Some(ledger) = &self.0.ledger {
+                    ledger.write(Entry::Told { balancer: balancer.into(), upstream, state });
+                }
+            }
+        }
+    }
+
+    /// The answer to a call, and what it tells.
+    fn answer(&self, path: &str) -> (String, Vec<(String, &'static str)>) {
+        let number = |name: &str| {
+            let query = path.split_once('?').map_or("", |(_, query)| query);
+            query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok())
+        };
+        let since = number("since");
+        let until = Instant::now() + Duration::from_millis(number("timeout_ms").unwrap_or(0).min(60_000));
+        let mut view = self.view();
+        while since.is_some_and(|since| view.version <= since) {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            view = self.0.changed.wait_timeout(view, left).unwrap_or_else(PoisonError::into_inner).0;
+        }
+        let named = view.listed.iter().filter(|(_, (listed, version))| match since {
+            Some(since) => *version > since,
+            None => listed.state != "left",
+        });
+        let named: Vec<_> = named.map(|(name, (listed, _))| (name.as_str(), listed)).collect();
+        let told = named.iter().map(|&(name, listed)| (name.to_string(), listed.state)).collect();
+        (list(view.version, since.is_none(), named.into_iter()), told)
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,48 @@
+//! Stand-ins for what surrounds herondock, and a ledger that checks its four rules.
+//!
+//! | module | what it has |
+//! | --- | --- |
+//! | [`message`] | HTTP messages as they come over a socket, and ready-made requests |
+//! | [`upstream`] | upstreams that do what a test tells them, or that work like small servers |
+//! | [`script`] | fault scripts: what an upstream does with the first request, the next, and so on |
+//! | [`discovery`] | discovery that answers as it is told, and a registry that keeps a list and its watches |
+//! | [`caller`] | plain clients, and callers that retry as the platform's do |
+//! | [`node`] | the program under test as a process |
+//! | [`ledger`] | what was sent, run and answered, and the four rules over it |
+//!
+//! Everything listens on ephemeral loopback ports, and runs in plain threads that block. A test waits for what it
+//! needs to have happened and never for a time: what stand-ins see comes over channels, [`node::Node::logs`] and
+//! [`node::Node::holds`] wait for a state of the program, and [`PATIENCE`] only ends a test that has failed.
+//!
+//! ```
+//! use std::sync::Arc;
+//! use testkit::caller::{Caller, Operation, Outcome};
+//! use testkit::ledger::{Effect, Figures, Ledger};
+//! use testkit::message::ok;
+//! use testkit::script::Script;
+//! use testkit::upstream::{Options, Then, Upstream};
+//!
+//! // Here the caller meets the upstream itself; a test puts a `Node` between them.
+//! let ledger = Arc::new(Ledger::new());
+//! let script = Script::new().times(1, || Then::declined()).for_ever(|| ok("served"));
+//! let upstream = Upstream::with(Options { ledger: Some(ledger.clone()), ..Options::named("s-1") }, script.play());
+//! let mut caller = Caller::new(ledger.clone(), 7);
+//! caller.reach("n1", upstream.addr);
+//! let operation = Operation { class: "pay".into(), owner: "club".into(), effect: Effect::Unsafe, ..Operation::default() };
+//! // Turned away once, which promises that another try is harmless; then served.
+//! let done = caller.call(&operation);
+//! assert!(matches!(done.outcome, Outcome::Served { .. }) && done.tries == 2);
+//! assert_eq!(ledger.check(&Figures::default()), []);
+//! ```
+pub mod caller;
+pub mod discovery;
+pub mod ledger;
+pub mod message;
+pub mod node;
+pub mod script;
+pub mod upstream;
+
+use std::time::Duration;
+
+/// Ends a test that has failed; nothing that works comes near it.
+pub const PATIENCE: Duration = Duration::from_secs(20);
--- /dev/null
+++ b/crates/testkit/src/message.rs
@@ -0,0 +1,99 @@
+//! HTTP messages as they come over a socket, and ready-made requests and answers.
+use crate::upstream::Then;
+use std::io::{BufRead, Read};
+
+/// Longest line, most lines and largest body that are read: a peer under test that goes beyond has failed.
+const LINE_MOST: u64 = 128 << 10;
+const LINES_MOST: usize = 1000;
+const BODY_MOST: usize = 64 << 20;
+
+/// A request or an answer.
+#[derive(Clone, Debug)]
+pub struct Message {
+    /// Its first line.
+    pub start: String,
+    /// Names and values, in order.
+    pub headers: Vec<(String, String)>,
+    /// The body that `Content-Length` states.
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// The first header of this name.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+
+    /// An answer's status; 0 where its first line states none.
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    /// A request's path and query; empty where its first line has none.
+    pub fn path(&self) -> &str {
+        self.start.split(' ').nth(1).unwrap_or("")
+    }
+}
+
+fn line(stream: &mut impl BufRead) -> Option<String> {
+    let mut line = Vec::new();
+    stream.take(LINE_MOST).read_until(b'\n', &mut line).ok()?;
+    line.ends_with(b"\n").then(|| String::from_utf8_lossy(&line).trim_end().to_string())
+}
+
+/// Reads one message; `None` when the connection ended before its end, or it is none.
+pub fn read(stream: &mut impl BufRead) -> Option<Message> {
+    read_telling(stream, |_| {})
+}
+
+/// The same; tells of the head as soon as it has come.
+pub fn read_telling(stream: &mut impl BufRead, head: impl FnOnce(&Message)) -> Option<Message> {
+    let mut message = Message { start: line(stream)?, headers: Vec::new(), body: Vec::new() };
+    loop {
+        let line = line(stream)?;
+        match line.split_once(':') {
+            Some(_) if message.headers.len() >= LINES_MOST => return None,
+            Some((name, value)) => message.headers.push((name.into(), value.trim().into())),
+            None => break,
+        }
+    }
+    head(&message);
+    let length = message.header("content-length").map_or(Some(0), |l| l.parse().ok())?;
+    if length > BODY_MOST {
+        return None;
+    }
+    message.body.resize(length, 0);
+    stream.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// An answer that served the request.
+pub fn ok(body: &str) -> Then {
+    Then::Answer(ok_text(body))
+}
+
+/// The same as text.
+pub fn ok_text(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// An answer with this status line's end and no body.
+pub fn status(line: &str) -> Then {
+    Then::Answer(format!("HTTP/1.1 {line}\r\nContent-Length: 0\r\n\r\n"))
+}
+
+/// A request that may be repeated, of class `read` and tenant `club`.
+pub fn get(id: &str, deadline: &str) -> String {
+    format!(
+        "GET /api/x?y=1 HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {id}\r\nReq-Kind: read\r\n\
+         Req-Owner: club\r\nReq-Deadline: {deadline}\r\n\r\n"
+    )
+}
+
+/// A request that must never run twice, of class `pay` and tenant `club`.
+pub fn pay(id: &str, deadline: &str) -> String {
+    format!(
+        "POST /api HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {id}\r\nReq-Kind: pay\r\n\
+         Req-Owner: club\r\nReq-Deadline: {deadline}\r\nContent-Length: 4\r\n\r\nbody"
+    )
+}
--- /dev/null
+++ b/crates/testkit/src/node.rs
@@ -0,0 +1,215 @@
+//! The program under test: configurations for it, and its process.
+use crate::caller::Client;
+use crate::discovery::{listing, Discovery};
+use crate::PATIENCE;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Instant;
+
+/// Most lines of a log that are kept; later ones are read and dropped.
+const LOG_MOST: usize = 10_000;
+
+/// A platform configuration with a class of each effect (`read`, `order`, `pay`) and one tenant (`club`).
+pub fn config(discovery: SocketAddr, sockets: usize, known: &str) -> String {
+    format!(
+        r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},
+        "settings":{{"balancers":1,"index":0,"membership_mode":"on_request","dcs":["a"],"kinds":["m"],
+          "classes":[
+            {{"name":"read","objective":1000,"deadline":20000,"effect":"free","late_worth":0.5}},
+            {{"name":"order","objective":1000,"deadline":20000,"effect":"guarded","dedup_scope":"all",
+              "repeat_window":20000,"late_worth":0.5}},
+            {{"name":"pay","objective":1000,"deadline":20000,"effect":"single_shot","late_worth":0.5}}],
+          "tenants":[{{"name":"club","share":1.0,"quota_per_s":5000}}],
+          "permissions":{{"attempts_cap":5,"cancel":true,"retry_after":true,"max_retry_after":2000,
+            "idle_close":60000}},
+          "invariants":{{"cold_from":0.3,"ramp_time":9000,"tip_multiple":4,"drain_grace":1000}}}}}}"#
+    )
+}
+
+/// Starts programs with files of their own in one folder.
+#[derive(Clone, Debug)]
+pub struct Program {
+    /// The executable.
+    pub path: PathBuf,
+    /// Where its files go.
+    pub folder: PathBuf,
+}
+
+static NUMBER: AtomicUsize = AtomicUsize::new(0);
+
+impl Program {
+    /// An executable, and a folder that exists.
+    pub fn new(path: impl AsRef<Path>, folder: impl AsRef<Path>) -> Program {
+        Program { path: path.as_ref().into(), folder: folder.as_ref().into() }
+    }
+
+    /// A file with this content and a name that no other has.
+    pub fn file(&self, ending: &str, content: &str) -> PathBuf {
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let path = self.folder.join(format!("node-{}-{number}{ending}", std::process::id()));
+        std::fs::write(&path, content).expect("writes a file");
+        path
+    }
+
+    /// The program with this platform configuration.
+    pub fn command(&self, config: &str) -> Command {
+        self.prepared(config, Command::new(&self.path))
+    }
+
+    /// The same under a limit of descriptors that the configuration does not tell of.
+    pub fn limited_command(&self, config: &str, descriptors: usize) -> Command {
+        let mut shell = Command::new("sh");
+        let exec = format!("ulimit -n {descriptors}; exec \"$0\"");
+        shell.args(["-c", &exec]).arg(&self.path);
+        self.prepared(config, shell)
+    }
+
+    fn prepared(&self, config: &str, mut command: Command) -> Command {
+        command.env("NODE_CONFIG", self.file(".json", config)).stdout(Stdio::null()).stderr(Stdio::piped());
+        command
+    }
+
+    /// A balancer that starts with this list, and whose discovery answers as it is told.
+    pub fn start(&self, sockets: usize, known: &str) -> Node {
+        let discovery = Discovery::start();
+        let command = self.command(&config(discovery.addr, sockets, known));
+        Node::run(command, discovery)
+    }
+
+    /// A balancer that knows these upstreams, and whose discovery is silent.
+    pub fn with(&self, upstreams: &[SocketAddr]) -> Node {
+        let servers: Vec<_> = upstreams.iter().enumerate().map(|(n, &a)| (n, a, "active")).collect();
+        self.start(1024, &listing(1, true, &servers))
+    }
+}
+
+/// Sends a signal, by its short name, to a process that we started.
+pub fn signal(pid: u32, name: &str) {
+    let status = Command::new("kill").args([&format!("-{name}"), &pid.to_string()]).status();
+    assert!(status.expect("runs kill").success(), "{pid} takes no {name}");
+}
+
+/// A running balancer; killed when dropped.
+pub struct Node {
+    child: Child,
+    /// Its configuration's file.
+    pub file: PathBuf,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Kept, so that it is silent and not gone.
+    pub discovery: Discovery,
+    log: Arc<Mutex<Vec<String>>>,
+    reader: Option<thread::JoinHandle<()>>,
+}
+
+impl Node {
+    /// Starts a prepared command and waits until it serves.
+    pub fn run(mut command: Command, discovery: Discovery) -> Node {
+        let file = command.get_envs().find(|(name, _)| *name == "NODE_CONFIG").and_then(|(_, path)| path);
+        let file = file.expect("a configuration").into();
+        let mut child = command.spawn().expect("starts");
+        let mut log = BufReader::new(child.stderr.take().expect("its log"));
+        let addr = loop {
+            let mut line = String::new();
+            assert_ne!(log.read_line(&mut line).expect("a log line"), 0, "it ended at once");
+            if let Some((_, addr)) = line.trim_end().split_once("serving on ") {
+                break addr.parse().expect("an address");
+            }
+        };
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let kept = lines.clone();
+        let reader = thread::spawn(move || {
+            for line in log.lines().map_while(Result::ok) {
+                let mut kept = kept.lock().unwrap_or_else(PoisonError::into_inner);
+                if kept.len() < LOG_MOST {
+                    kept.push(line);
+                }
+            }
+        });
+        Node { child, file, addr, discovery, log: lines, reader: Some(reader) }
+    }
+
+    /// What it has logged since it began to serve.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Its process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// How many descriptors it holds.
+    pub fn descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(path).expect("its descriptors").count()
+    }
+
+    /// Waits until the number of its descriptors is as wanted.
+    pub fn holds(&self, wanted: impl Fn(usize) -> bool, otherwise: &str) {
+        let started = Instant::now();
+        while !wanted(self.descriptors()) {
+            assert!(started.elapsed() < PATIENCE, "{otherwise}");
+            thread::yield_now();
+        }
+    }
+
+    /// Tells it to end.
+    pub fn terminate(&self) {
+        signal(self.child.id(), "TERM");
+    }
+
+    /// Replaces the configuration and has it read again.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.file, config).expect("writes the configuration");
+        signal(self.child.id(), "HUP");
+    }
+
+    /// Waits for a line of the log with this in it.
+    pub fn logs(&self, wanted: &str) {
+        let started = Instant::now();
+        while !self.log().iter().any(|line| line.contains(wanted)) {
+            assert!(started.elapsed() < PATIENCE, "no line with {wanted:?} in {:?}", self.log());
+            thread::yield_now();
+        }
+    }
+
+    /// Waits until it has ended and its log is read.
+    pub fn wait(&mut self) -> ExitStatus {
+        let status = self.child.wait().expect("it ends");
+        if let Some(reader) = self.reader.take() {
+            reader.join().expect("the log is read");
+        }
+        status
+    }
+
+    /// A connection to it.
+    pub fn client(&self) -> Client {
+        self.try_client().expect("connects")
+    }
+
+    /// A client that has sent this and not yet read an answer.
+    pub fn client_that_sent(&self, text: &str) -> Client {
+        let mut client = self.client();
+        client.send(text);
+        client
+    }
+
+    /// `None`: it does not listen any more.
+    pub fn try_client(&self) -> Option<Client> {
+        Client::connect(self.addr)
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/ledger.rs
@@ -0,0 +1,218 @@
+//! The ledger on each rule broken once, and on a clean run that looks like trouble.
+use std::time::Duration;
+use testkit::ledger::{Cold, Effect, Entry, Fault, Figures, Ledger, Rule, Scope, State};
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// A ledger that is written by hand.
+struct Book(Ledger);
+
+impl Book {
+    fn new() -> Book {
+        Book(Ledger::new())
+    }
+
+    fn sent(self, at: u64, request: &str, effect: Effect) -> Book {
+        let (request, balancer) = (request.into(), "n1".into());
+        self.0.write_at(ms(at), Entry::Sent { request, balancer, effect, patience: ms(500) });
+        self
+    }
+
+    fn begun(self, at: u64, upstream: &str, request: &str) -> Book {
+        self.0.write_at(ms(at), Entry::Begun { upstream: upstream.into(), request: request.into() });
+        self
+    }
+
+    fn ran(self, at: u64, upstream: &str, group: u32, request: &str) -> Book {
+        self.worked(at, upstream, group, request, ms(10))
+    }
+
+    fn worked(self, at: u64, upstream: &str, group: u32, request: &str, work: Duration) -> Book {
+        let book = self.begun(at, upstream, request);
+        let (upstream, request) = (upstream.into(), request.into());
+        book.0.write_at(ms(at), Entry::Executed { upstream, group, request, work });
+        book
+    }
+
+    fn answered(self, at: u64, request: &str, status: u16) -> Book {
+        self.0.write_at(ms(at), Entry::Answered { request: request.into(), status });
+        self
+    }
+
+    fn write(self, at: u64, entry: Entry) -> Book {
+        self.0.write_at(ms(at), entry);
+        self
+    }
+
+    fn told(self, at: u64, upstream: &str, state: State) -> Book {
+        self.write(at, Entry::Told { balancer: "n1".into(), upstream: upstream.into(), state })
+    }
+
+    fn faults(&self) -> Vec<Fault> {
+        self.0.check(&Figures::default()).into_iter().map(|v| v.fault).collect()
+    }
+}
+
+#[test]
+fn an_answer_that_never_came_is_lost() {
+    let book = Book::new().sent(0, "r", Effect::Safe).ran(10, "s-1", 0, "r");
+    assert_eq!(book.faults(), [Fault::AnswerLost]);
+    assert_eq!(Fault::AnswerLost.rule(), Some(Rule::NoRequestLost));
+    // Unless its caller left, or what held it was killed.
+    let left = Book::new().sent(0, "r", Effect::Safe).write(9, Entry::Left { request: "r".into() });
+    assert_eq!(left.faults(), []);
+    let kill = |at| Book::new().sent(5, "r", Effect::Safe).write(at, Entry::Killed { balancer: "n1".into() });
+    assert_eq!(kill(9).faults(), []);
+    assert_eq!(kill(1).faults(), [Fault::AnswerLost], "killed before it took the request");
+}
+
+#[test]
+fn two_answers_and_late_ones_are_faults() {
+    let once = || Book::new().sent(0, "r", Effect::Safe).ran(1, "s-1", 0, "r").answered(9, "r", 200);
+    assert_eq!(once().faults(), []);
+    assert_eq!(once().answered(12, "r", 200).faults(), [Fault::TwoAnswers]);
+    let late = |at| Book::new().sent(0, "r", Effect::Safe).answered(at, "r", 502);
+    assert_eq!(late(550).faults(), []);
+    assert_eq!(late(551).faults(), [Fault::AnswerLate]);
+}
+
+#[test]
+fn what_nobody_worked_on_was_not_served() {
+    let book = Book::new().sent(0, "r", Effect::Safe).begun(1, "s-1", "r").answered(9, "r", 200);
+    assert_eq!(book.faults(), [Fault::ServedByNobody]);
+}
+
+#[test]
+fn nothing_is_sent_for_what_was_answered_or_left() {
+    let answered = |at| {
+        Book::new()
+            .sent(0, "r", Effect::Safe)
+            .ran(1, "s-1", 0, "r")
+            .answered(9, "r", 200)
+            .ran(at, "s-2", 0, "r")
+    };
+    assert_eq!(answered(59).faults(), []);
+    assert_eq!(answered(60).faults(), [Fault::SentAfterAnswer]);
+    let left = Book::new().sent(0, "r", Effect::Safe).write(5, Entry::Left { request: "r".into() });
+    assert_eq!(left.begun(90, "s-1", "r").faults(), [Fault::SentAfterAnswer]);
+}
+
+#[test]
+fn an_unsafe_request_runs_once() {
+    let book = Book::new().sent(0, "r", Effect::Unsafe).ran(1, "s-1", 0, "r").ran(5, "s-1", 0, "r");
+    assert_eq!(book.answered(9, "r", 200).faults(), [Fault::UnsafeRepeated]);
+    assert_eq!(Fault::UnsafeRepeated.rule(), Some(Rule::NoEffectTwice));
+}
+
+#[test]
+fn a_keyed_request_runs_again_only_inside_its_group_and_window() {
+    let again = |at, group| {
+        let book = Book::new().sent(0, "r", Effect::Keyed).ran(1, "s-1", 3, "r").ran(at, "s-2", group, "r");
+        book.answered(9, "r", 502)
+    };
+    let long = Figures { slack: ms(9000), ..Figures::default() };
+    assert_eq!(again(5, 3).faults(), []);
+    assert_eq!(again(5, 4).faults(), [Fault::KeyedOutsideGroup]);
+    // So late that its answer has come long ago, too.
+    assert_eq!(again(4052, 3).faults(), [Fault::SentAfterAnswer, Fault::KeyedOutsideWindow]);
+    assert!(again(4052, 3).0.check(&long).is_empty());
+    let all = Figures { scope: Scope::All, ..Figures::default() };
+    assert!(again(5, 4).0.check(&all).is_empty(), "where all drop repeats the group is no matter");
+}
+
+#[test]
+fn a_refusal_is_a_promise() {
+    let refused = |effect| Book::new().sent(0, "r", effect).ran(1, "s-1", 0, "r").answered(9, "r", 503);
+    assert_eq!(refused(Effect::Safe).faults(), []);
+    assert_eq!(refused(Effect::Unsafe).faults(), [Fault::RefusedAfterRunning]);
+    assert_eq!(refused(Effect::Keyed).faults(), [Fault::RefusedAfterRunning]);
+    let all = Figures { scope: Scope::All, ..Figures::default() };
+    assert!(refused(Effect::Keyed).0.check(&all).is_empty());
+    // It may yet run: an attempt that was under way when the refusal was given.
+    let later = Book::new().sent(0, "r", Effect::Unsafe).answered(9, "r", 503).ran(12, "s-1", 0, "r");
+    assert_eq!(later.faults(), [Fault::RefusedAfterRunning]);
+    let declined = Book::new().sent(0, "r", Effect::Unsafe).begun(1, "s-1", "r").answered(9, "r", 503);
+    assert_eq!(declined.faults(), [], "turned away unseen");
+}
+
+#[test]
+fn nothing_new_goes_to_what_drains_after_the_grace() {
+    let send = |at: u64, book: Book| {
+        book.sent(at, "r", Effect::Safe).ran(at, "s-1", 0, "r").answered(at + 9, "r", 200).faults()
+    };
+    let drains = || Book::new().told(100, "s-1", State::Closed);
+    assert_eq!(send(1150, drains()), []);
+    assert_eq!(send(1151, drains()), [Fault::SentAfterGrace]);
+    assert_eq!(send(1151, drains().told(900, "s-1", State::Closed)), [Fault::SentAfterGrace], "first news");
+    assert_eq!(send(1151, drains().told(900, "s-1", State::Ready)), []);
+    assert_eq!(send(1151, Book::new().told(100, "s-2", State::Closed)), [], "another upstream");
+}
+
+#[test]
+fn a_cold_upstream_is_not_pushed_over() {
+    let cold = Cold { cores: 2.0, from: 0.25, ramp: ms(10_000) };
+    // In its first second it does 0.575 s of work: four times that is 2.3 s, and one request more is chance.
+    let burst = |start: u64, requests: u64| {
+        let mut book = Book::new().write(0, Entry::Started { upstream: "s-1".into(), cold });
+        for k in 0..requests {
+            let id = format!("r{k}");
+            let at = start + k;
+            book = book.sent(at, &id, Effect::Safe).worked(at, "s-1", 0, &id, ms(100)).answered(at, &id, 200);
+        }
+        book.faults()
+    };
+    assert_eq!(burst(0, 24), []);
+    assert_eq!(burst(0, 25), [Fault::ColdPushedOver]);
+    assert_eq!(burst(5000, 25), [], "warmer by then");
+    assert_eq!(burst(10_000, 99), [], "warm");
+    assert_eq!(Fault::ColdPushedOver.rule(), Some(Rule::ColdNotPushedOver));
+}
+
+#[test]
+fn a_clean_run_with_retries_resets_and_late_answers_passes() {
+    let book = Book::new()
+        // Reset, then served by another: it may be repeated.
+        .sent(0, "a", Effect::Safe)
+        .ran(1, "s-1", 0, "a")
+        .ran(30, "s-2", 1, "a")
+        .answered(60, "a", 200)
+        // Turned away twice, then served, and that once.
+        .sent(10, "b", Effect::Unsafe)
+        .begun(11, "s-1", "b")
+        .begun(12, "s-2", "b")
+        .ran(13, "s-3", 0, "b")
+        .answered(60, "b", 200)
+        // Reset: it may have run, so its caller is told of a failure, though it had run to its end.
+        .sent(10, "c", Effect::Unsafe)
+        .ran(11, "s-1", 0, "c")
+        .answered(40, "c", 502)
+        // Silence, a repeat in its group, and both answer in the end.
+        .sent(10, "d", Effect::Keyed)
+        .ran(11, "s-1", 2, "d")
+        .ran(300, "s-4", 2, "d")
+        .answered(510, "d", 200)
+        // Refused, and tried again by its caller as another request.
+        .sent(10, "e", Effect::Unsafe)
+        .answered(12, "e", 503)
+        .sent(30, "e2", Effect::Unsafe)
+        .ran(31, "s-1", 0, "e2")
+        .answered(41, "e2", 200)
+        // A drain in time, and the return of the upstream.
+        .told(100, "s-3", State::Closed)
+        .told(4000, "s-3", State::Ready)
+        .sent(4000, "f", Effect::Safe)
+        .ran(4001, "s-3", 0, "f")
+        .answered(4002, "f", 200);
+    assert_eq!(book.0.check(&Figures::default()), []);
+}
+
+/// Guards against a verdict over books that are not whole.
+#[test]
+fn a_ledger_that_is_full_says_so() {
+    let book = Book(Ledger::with_room(2));
+    let book = book.sent(0, "r", Effect::Safe).answered(1, "r", 502).sent(2, "s", Effect::Safe);
+    assert_eq!(book.faults(), [Fault::LedgerFull]);
+    assert_eq!(Fault::LedgerFull.rule(), None);
+}
