--- a/crates/herondock/src/cli.rs
+++ b/crates/herondock/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line: what each command is called and takes, and what it ends with (0, 1 for a failure, 2 for wrong
 //! usage).
 use crate::log::log;
-use crate::{check, run};
+use crate::{check, demo, run};
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -21,6 +21,18 @@
         /// The operator's file (TOML); see deploy/herondock.example.toml
         #[arg(long, value_name = "FILE")]
         operator: Option<PathBuf>,
+        /// End when standard input does: for programs that start instances and must not leave one behind
+        #[arg(long, hide = true)]
+        lifeline: bool,
+    },
+    /// Show the balancer at work: three instances between stand-ins, with trouble; needs no configuration
+    Demo {
+        /// How long the traffic lasts
+        #[arg(long, value_name = "N", default_value_t = 20, value_parser = clap::value_parser!(u64).range(3..=600))]
+        seconds: u64,
+        /// Print the report as JSON, and nothing else
+        #[arg(long)]
+        json: bool,
     },
     /// Check operator's files (TOML) and platform configurations (.json); opens no socket
     Check {
@@ -34,8 +46,14 @@
 pub fn main() -> ExitCode {
     // Wrong usage ends in here with 2, help and version with 0.
     let line = Line::parse();
-    let done = match line.command.unwrap_or(Command::Run { operator: None }) {
-        Command::Run { operator } => run::run(operator.as_deref()),
+    let done = match line.command.unwrap_or(Command::Run { operator: None, lifeline: false }) {
+        Command::Run { operator, lifeline } => {
+            if lifeline {
+                run::end_with_input();
+            }
+            run::run(operator.as_deref())
+        }
+        Command::Demo { seconds, json } => demo::demo(&demo::Options { seconds, json }),
         Command::Check { files } => check::check(&files),
     };
     match done {
--- a/crates/herondock/src/run.rs
+++ b/crates/herondock/src/run.rs
@@ -37,6 +37,16 @@
     tokio::task::LocalSet::new().block_on(&runtime, serve(operator.map(Path::to_path_buf)))
 }
 
+/// Ends the process as soon as standard input ends, whatever it is doing: who held the other end is gone, and with it
+/// everyone that was served.
+pub fn end_with_input() {
+    std::thread::spawn(|| {
+        // What comes is of no interest; an error ends it as well.
+        let _ = std::io::copy(&mut std::io::stdin().lock(), &mut std::io::sink());
+        std::process::exit(1);
+    });
+}
+
 /// The operator's file, if one was named.
 fn read_operator(path: Option<&Path>) -> Result<Operator, String> {
     path.map_or_else(|| Ok(Operator::default()), operator::read)
--- a/crates/testkit/src/caller.rs
+++ b/crates/testkit/src/caller.rs
@@ -142,6 +142,14 @@
         self.balancers.retain(|(n, _)| n != name);
     }
 
+    /// Takes these for all balancers that there are, and drops the connections to others.
+    pub fn know(&mut self, balancers: &[(String, SocketAddr)]) {
+        if self.balancers != balancers {
+            self.balancers = balancers.to_vec();
+            self.kept.retain(|addr, _| balancers.iter().any(|(_, a)| a == addr));
+        }
+    }
+
     /// xorshift64: enough to spread connections.
     fn draw(&mut self, n: usize) -> usize {
         self.random ^= self.random << 13;
@@ -188,30 +196,36 @@
         }
     }
 
+    /// A connection to some balancer, and whether it was in use before. One that can't be reached is passed over.
+    fn connection(&mut self, patience: Duration) -> Option<(String, SocketAddr, BufReader<TcpStream>, bool)> {
+        let first = self.draw(self.balancers.len());
+        for k in 0..self.balancers.len() {
+            let (name, addr) = self.balancers[(first + k) % self.balancers.len()].clone();
+            if let Some(stream) = self.kept.remove(&addr) {
+                return Some((name, addr, stream, true));
+            }
+            if let Some(stream) = connect(addr, patience) {
+                return Some((name, addr, stream, false));
+            }
+        }
+        None
+    }
+
     fn attempt(&mut self, operation: &Operation, key: &str, patience: Duration) -> Try {
         if self.balancers.is_empty() || patience.is_zero() {
             return Try::Unreached;
         }
-        let chosen = self.draw(self.balancers.len());
-        let (balancer, addr) = self.balancers[chosen].clone();
         let until = Instant::now() + patience;
         let request = fresh_id();
         let text = text(operation, key, &request, patience);
         let mut written = false;
         loop {
-            let kept = self.kept.remove(&addr);
-            let reused = kept.is_some();
-            let Some(mut stream) = kept.or_else(|| connect(addr, patience)) else {
+            let Some((balancer, addr, mut stream, reused)) = self.connection(patience) else {
                 return if written { Try::Unanswered } else { Try::Unreached };
             };
-            if !std::mem::replace(&mut written, true) {
-                self.ledger.write(Entry::Sent {
-                    request: request.clone(),
-                    balancer: balancer.clone(),
-                    effect: operation.effect,
-                    patience,
-                });
-            }
+            written = true;
+            let (effect, sent) = (operation.effect, request.clone());
+            self.ledger.write(Entry::Sent { request: sent, balancer, effect, patience });
             let sent = stream.get_mut().write_all(text.as_bytes());
             // A little longer than it promised to: whether an answer is late is the ledger's to judge.
             let left = until.saturating_duration_since(Instant::now()) + Duration::from_millis(200);
@@ -219,8 +233,8 @@
             let first = stream.fill_buf().map(|b| !b.is_empty());
             match first {
                 Ok(true) if sent.is_ok() && timed.is_ok() => {}
-                // A balancer may close a connection between requests, and this one crossed that: once more, on a
-                // new one, as the same request. Silence is something else.
+                // A balancer may close a connection between requests, and this one crossed that: once more, on another,
+                // as the same request. Silence is something else.
                 Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
                     return Try::Unanswered
                 }
--- a/crates/testkit/src/ledger.rs
+++ b/crates/testkit/src/ledger.rs
@@ -76,7 +76,8 @@
 /// Something that happened.
 #[derive(Clone, Debug)]
 pub enum Entry {
-    /// A caller has begun to send a request on a connection that was accepted.
+    /// A caller has begun to send a request on a connection that was accepted. Written once more if that connection
+    /// closed between requests and the same request went out on another: the last one says who took it.
     Sent {
         /// Its id, new with every request.
         request: String,
@@ -359,7 +360,8 @@
             let story = stories.entry(request).or_default();
             match &r.entry {
                 Entry::Sent { balancer, effect, patience, .. } => {
-                    story.sent.get_or_insert((r.at, balancer, *effect, *patience));
+                    let began = story.sent.map_or(r.at, |(at, ..)| at);
+                    story.sent = Some((began, balancer, *effect, *patience));
                 }
                 Entry::Answered { status, .. } => story.answers.push((r.at, *status)),
                 Entry::Left { .. } => story.left = Some(r.at),
--- a/crates/testkit/src/upstream.rs
+++ b/crates/testkit/src/upstream.rs
@@ -109,6 +109,7 @@
     pub seen: Receiver<Seen>,
     /// How many connections were made to it.
     pub connections: Arc<AtomicUsize>,
+    listener: Arc<TcpListener>,
     shared: Arc<Shared>,
 }
 
@@ -159,13 +160,15 @@
             dead: AtomicBool::new(false),
             open: Mutex::default(),
         });
-        let (count, at) = (connections.clone(), shared.clone());
+        let listener = Arc::new(listener);
+        let (count, at, accepting) = (connections.clone(), shared.clone(), listener.clone());
         thread::spawn(move || {
-            for stream in listener.incoming() {
+            loop {
+                let accepted = accepting.accept();
                 if at.dead.load(Ordering::SeqCst) {
                     return;
                 }
-                let Ok(stream) = stream else {
+                let Ok((stream, _)) = accepted else {
                     // Out of descriptors: nothing to accept it with yet.
                     thread::yield_now();
                     continue;
@@ -181,7 +184,7 @@
                 thread::spawn(move || serve(stream, &at));
             }
         });
-        Ok(Upstream { addr, seen, connections, shared })
+        Ok(Upstream { addr, seen, connections, listener, shared })
     }
 
     /// The next request.
@@ -204,13 +207,18 @@
         self.seen.try_iter().filter(|s| matches!(s, Seen::Request(_))).count()
     }
 
-    /// Ends like a process that dies: connections are reset, and new ones refused. Returns once nobody listens.
+    /// How many requests [`Then::Work`] holds: those that it works on and those that wait for a core.
+    pub fn busy(&self) -> usize {
+        lock(&self.shared.busy).0
+    }
+
+    /// Ends like a process that dies: connections are reset, and new ones are refused.
     pub fn kill(&self) {
         if self.shared.dead.swap(true, Ordering::SeqCst) {
             return;
         }
-        // Wakes the thread that accepts; it drops the listener.
-        let _ = TcpStream::connect(self.addr);
+        // Ends the listening at once, and wakes the thread that accepts.
+        let _ = socket2::SockRef::from(&*self.listener).shutdown(Shutdown::Both);
         for stream in lock(&self.shared.open).drain(..).filter_map(|s| s.upgrade()) {
             let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
             let _ = stream.shutdown(Shutdown::Both);
