The four rules under scripted trouble, judged by the ledger; stand-ins tested themselves

Need: the ledger was used by the demo only; what tests rely on when they believe a stand-in was not tested. Change: tests/rules.rs plays resets, errors, refusals, half answers, drains and instances told to end under load, over real instances and callers of all three classes, and has the ledger judge. tests/standins.rs covers scripts, callers, the registry and upstreams. The demo's folder is new, private and never one that somebody else prepared.

--- a/crates/herondock/src/demo/world.rs
+++ b/crates/herondock/src/demo/world.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::os::unix::fs::DirBuilderExt;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -133,8 +134,7 @@
             registry.set(&name, Listed { addr: upstream.addr, group, state: "active", started_ms: 0 });
             servers.push(Server { name, group, state: "active", upstream });
         }
-        let folder = std::env::temp_dir().join(format!("herondock-demo-{}", std::process::id()));
-        std::fs::create_dir_all(&folder)?;
+        let folder = folder()?;
         let clubs = CLUBS.iter().map(|&(name, _)| Ok((name, Club::new()?))).collect::<io::Result<_>>()?;
         let shared =
             Shared { balancers: Mutex::default(), clubs: Mutex::new(clubs), stop: AtomicBool::new(false) };
@@ -351,6 +351,21 @@
     }
 }
 
+/// A new folder that nobody else may read or has prepared.
+fn folder() -> io::Result<PathBuf> {
+    let base = std::env::temp_dir();
+    for n in 0..100 {
+        let folder = base.join(format!("herondock-demo-{}-{n}", std::process::id()));
+        match std::fs::DirBuilder::new().mode(0o700).create(&folder) {
+            Ok(()) => return Ok(folder),
+            // Left behind by a demo that was killed and had the same number.
+            Err(e) if e.kind() == io::ErrorKind::AlreadyExists => {}
+            Err(e) => return Err(io::Error::other(format!("{}: {e}", folder.display()))),
+        }
+    }
+    Err(io::Error::other(format!("{}: no name is free", base.display())))
+}
+
 /// The rules in the demo's figures, which are those of [`configuration`].
 fn figures() -> Figures {
     Figures::default()
--- /dev/null
+++ b/crates/herondock/tests/rules.rs
@@ -0,0 +1,179 @@
+//! The four rules under trouble, judged by the ledger: real instances between stand-ins that fail by script.
+mod common;
+use common::*;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use testkit::caller::{Caller, Operation, Outcome};
+use testkit::discovery::{Listed, Registry};
+use testkit::ledger::{Effect, Entry, Figures, Ledger, Scope, State};
+use testkit::script::Script;
+use testkit::upstream::Options;
+
+/// The rules in the figures of [`config`]: all upstreams drop repeats, for 20 s.
+fn figures() -> Figures {
+    Figures { scope: Scope::All, window: Duration::from_secs(20), ..Figures::default() }
+}
+
+/// Instances that ask this registry.
+fn fleet(size: usize, registry: &Registry) -> Vec<Node> {
+    let start = |k: usize| {
+        let asked = registry.open(&format!("n{k}")).expect("a port");
+        let config = config(asked, 1024, "null")
+            .replace("\"balancers\":1,\"index\":0", &format!("\"balancers\":{size},\"index\":{k}"));
+        let node = Node::run(command(&config), Discovery::start());
+        // It is ready once it has been told of the list.
+        let started = std::time::Instant::now();
+        while node.client().call("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() != 200 {
+            assert!(started.elapsed() < PATIENCE, "never ready");
+            thread::yield_now();
+        }
+        node
+    };
+    (0..size).map(start).collect()
+}
+
+fn operation(class: &str, effect: Effect) -> Operation {
+    Operation { class: class.into(), effect, deadline: Duration::from_secs(20), ..Operation::default() }
+}
+
+const CLASSES: [(&str, Effect); 3] =
+    [("read", Effect::Safe), ("order", Effect::Keyed), ("pay", Effect::Unsafe)];
+
+/// Callers in threads, each with so many operations of every class, through all nodes. How many were served.
+fn load(ledger: &Arc<Ledger>, nodes: &[Node], callers: u64, operations: usize) -> usize {
+    let addrs: Vec<_> = nodes.iter().enumerate().map(|(k, node)| (format!("n{k}"), node.addr)).collect();
+    let one = |seed: u64| {
+        let mut caller = Caller::new(ledger.clone(), seed);
+        caller.know(&addrs);
+        let all = (0..operations).flat_map(|_| CLASSES);
+        all.filter(|(class, effect)| {
+            matches!(caller.call(&operation(class, *effect)).outcome, Outcome::Served { .. })
+        })
+        .count()
+    };
+    thread::scope(|scope| {
+        let threads: Vec<_> = (1..=callers)
+            .map(|seed| (seed, &one))
+            .map(|(seed, one)| scope.spawn(move || one(seed)))
+            .collect();
+        threads.into_iter().map(|t| t.join().expect("no panic")).sum()
+    })
+}
+
+/// Guards against any repeat, loss or false promise when upstreams break off, turn away, fail, garble or close.
+#[test]
+fn resets_errors_and_refusals_of_upstreams_break_no_rule() {
+    let ledger = Arc::new(Ledger::new());
+    let registry = Registry::new(Some(ledger.clone()));
+    let trouble = || {
+        let mut script = Script::new();
+        for _ in 0..20 {
+            script = script
+                .times(9, || ok("served"))
+                .times(1, || Then::Hang)
+                .times(2, Then::declined)
+                .times(4, || ok("served"))
+                .times(1, || status("500 Broken"))
+                .times(3, || Then::AnswerAndClose("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx".into()))
+                .times(1, || Then::AnswerAndClose("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".into()));
+        }
+        script.for_ever(|| ok("served"))
+    };
+    let upstreams: Vec<Upstream> = (0..4)
+        .map(|k| {
+            let options = Options { ledger: Some(ledger.clone()), ..Options::named(&format!("u{k}")) };
+            let upstream = Upstream::with(options, trouble().play());
+            registry.set(
+                &format!("u{k}"),
+                Listed { addr: upstream.addr, group: 1, state: "active", started_ms: 0 },
+            );
+            upstream
+        })
+        .collect();
+    let nodes = fleet(2, &registry);
+    let served = load(&ledger, &nodes, 8, 20);
+    assert_eq!(ledger.check(&figures()), []);
+    assert!(served > 8 * 20 * 3 / 2, "most are served: {served}");
+    drop(upstreams);
+}
+
+/// Guards against news of a drain that is taken in but not kept, under load; and against losing what was under way.
+#[test]
+fn an_upstream_that_drains_under_load_gets_nothing_new() {
+    let ledger = Arc::new(Ledger::new());
+    let registry = Registry::new(Some(ledger.clone()));
+    let start = |name: &str| {
+        let upstream = Upstream::with(
+            Options { ledger: Some(ledger.clone()), ..Options::named(name) },
+            |_: &Message| ok("x"),
+        );
+        registry.set(name, Listed { addr: upstream.addr, group: 1, state: "active", started_ms: 0 });
+        upstream
+    };
+    let upstreams = ["u0", "u1", "u2"].map(start);
+    let nodes = fleet(2, &registry);
+    // No grace at all here: what begins after a balancer was told is a fault, but for what crossed the news.
+    let strict = Figures { grace: Duration::ZERO, slack: Duration::from_millis(500), ..figures() };
+    load(&ledger, &nodes, 4, 10);
+    registry.state("u0", "leaving");
+    registry.state("u1", "left");
+    let told = |upstream: &str| {
+        let closed =
+            |e: &Entry| matches!(e, Entry::Told { upstream: u, state: State::Closed, .. } if u == upstream);
+        ledger.since(0).iter().filter(|r| closed(&r.entry)).count()
+    };
+    let started = std::time::Instant::now();
+    while told("u0") < nodes.len() || told("u1") < nodes.len() {
+        assert!(started.elapsed() < PATIENCE, "the news does not arrive");
+        thread::yield_now();
+    }
+    let (before, served) = (executed(&ledger, "u2"), load(&ledger, &nodes, 4, 50));
+    assert!(served > 300, "{served}");
+    assert_eq!(ledger.check(&strict), []);
+    assert!(executed(&ledger, "u2") - before >= served - 20, "the one that is left does the work");
+    drop(upstreams);
+}
+
+fn executed(ledger: &Ledger, name: &str) -> usize {
+    let at = |e: &Entry| matches!(e, Entry::Executed { upstream, .. } if upstream == name);
+    ledger.since(0).iter().filter(|r| at(&r.entry)).count()
+}
+
+/// Guards against a restart that loses or repeats anything: every instance is told to end in the middle of the load,
+/// one after the other, while callers go on with what they have.
+#[test]
+fn instances_told_to_end_under_load_break_no_rule() {
+    let ledger = Arc::new(Ledger::new());
+    let registry = Registry::new(Some(ledger.clone()));
+    let options = Options { ledger: Some(ledger.clone()), cores: 8, ..Options::named("u0") };
+    let upstream = Upstream::with(options, |_: &Message| {
+        Then::Work(Duration::from_millis(2), testkit::message::ok_text("x"))
+    });
+    registry.set("u0", Listed { addr: upstream.addr, group: 1, state: "active", started_ms: 0 });
+    let mut nodes = fleet(3, &registry);
+    let addrs: Vec<_> = nodes.iter().enumerate().map(|(k, node)| (format!("n{k}"), node.addr)).collect();
+    let stop = std::sync::atomic::AtomicBool::new(false);
+    thread::scope(|scope| {
+        for seed in 1..=6 {
+            let (ledger, stop, addrs) = (&ledger, &stop, &addrs);
+            scope.spawn(move || {
+                let mut caller = Caller::new(ledger.clone(), seed);
+                caller.know(addrs);
+                let mut all = CLASSES.iter().cycle();
+                while !stop.load(std::sync::atomic::Ordering::SeqCst) {
+                    let Some((class, effect)) = all.next() else { return };
+                    caller.call(&operation(class, *effect));
+                }
+            });
+        }
+        for node in &mut nodes[..2] {
+            node.terminate();
+            assert!(node.wait().success());
+            assert!(!node.log().iter().any(|l| l.contains("unanswered")), "{:?}", node.log());
+        }
+        stop.store(true, std::sync::atomic::Ordering::SeqCst);
+    });
+    assert_eq!(ledger.check(&figures()), []);
+    assert!(executed(&ledger, "u0") > 100);
+}
--- /dev/null
+++ b/crates/testkit/tests/standins.rs
@@ -0,0 +1,140 @@
+//! The stand-ins themselves: what a test relies on when it believes them.
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use testkit::caller::{Caller, Client, Operation, Outcome};
+use testkit::discovery::{Listed, Registry};
+use testkit::ledger::{Effect, Entry, Fault, Figures, Ledger};
+use testkit::message::{get, ok, ok_text, status};
+use testkit::script::Script;
+use testkit::upstream::{Options, Then, Upstream};
+
+fn kept(ledger: &Arc<Ledger>, script: Script) -> Upstream {
+    Upstream::with(Options { ledger: Some(ledger.clone()), ..Options::named("s-1") }, script.play())
+}
+
+fn caller(ledger: &Arc<Ledger>, upstream: &Upstream) -> Caller {
+    let mut caller = Caller::new(ledger.clone(), 3);
+    caller.reach("n1", upstream.addr);
+    caller
+}
+
+fn operation(effect: Effect) -> Operation {
+    Operation { effect, ..Operation::default() }
+}
+
+#[test]
+fn a_script_plays_in_order_over_all_who_share_it() {
+    let script = Script::new().times(2, || ok("a")).times(1, || status("500 Odd")).play();
+    let (one, two) = (Upstream::start(script.clone()), Upstream::start(script));
+    let call = |upstream: &Upstream| {
+        Client::connect(upstream.addr).expect("connects").call(&get("r", "1m")).status()
+    };
+    assert_eq!([call(&one), call(&two), call(&one), call(&two)], [200, 200, 500, 500]);
+}
+
+#[test]
+fn callers_try_again_what_may_be_tried_again() {
+    let ledger = Arc::new(Ledger::new());
+    let upstream = kept(&ledger, Script::new().times(1, || status("500 Odd")).for_ever(|| ok("x")));
+    let done = caller(&ledger, &upstream).call(&operation(Effect::Unsafe));
+    assert_eq!((done.outcome, done.tries), (Outcome::Failed, 1), "a failure promises nothing");
+
+    let upstream = kept(&ledger, Script::new().times(2, || status("502 Odd")).for_ever(|| ok("x")));
+    let done = caller(&ledger, &upstream).call(&operation(Effect::Keyed));
+    assert!(matches!(done.outcome, Outcome::Served { .. }));
+    let requests: Vec<_> = (0..3).map(|_| upstream.request()).collect();
+    let field =
+        |name: &str| requests.iter().map(|r| r.header(name).unwrap_or("").to_string()).collect::<Vec<_>>();
+    let (ids, keys) = (field("req-id"), field("idempotency-key"));
+    assert!(ids[0] != ids[1] && ids[1] != ids[2], "a new id with every try");
+    assert!(keys[0] == keys[1] && keys[1] == keys[2] && !keys[0].is_empty(), "one key for all");
+
+    let upstream = kept(&ledger, Script::new().for_ever(Then::declined));
+    let done = caller(&ledger, &upstream).call(&operation(Effect::Unsafe));
+    assert_eq!((done.outcome, done.tries), (Outcome::Refused, 4), "a first try and three more");
+    assert_eq!(ledger.check(&Figures::default()), []);
+}
+
+/// Guards against a caller that takes a connection closed between two requests for a lost answer.
+#[test]
+fn a_request_that_crosses_the_end_of_its_connection_is_sent_once_more() {
+    let ledger = Arc::new(Ledger::new());
+    let close = || Then::AnswerAndClose(ok_text("x"));
+    let upstream = kept(&ledger, Script::new().times(1, close).for_ever(|| ok("x")));
+    let mut caller = caller(&ledger, &upstream);
+    for _ in 0..2 {
+        let done = caller.call(&operation(Effect::Unsafe));
+        assert!(matches!((done.outcome, done.tries), (Outcome::Served { .. }, 1)), "{done:?}");
+    }
+    assert_eq!(ledger.check(&Figures::default()), []);
+}
+
+#[test]
+fn silence_is_an_answer_lost() {
+    let ledger = Arc::new(Ledger::new());
+    let upstream = kept(&ledger, Script::new().for_ever(|| Then::Wait));
+    let brief = Operation { deadline: Duration::from_millis(50), ..operation(Effect::Unsafe) };
+    let done = caller(&ledger, &upstream).call(&brief);
+    assert_eq!(done.outcome, Outcome::Unanswered);
+    assert_eq!(ledger.check(&Figures::default())[0].fault, Fault::AnswerLost);
+}
+
+#[test]
+fn an_upstream_that_was_killed_resets_and_refuses() {
+    let upstream = Upstream::start(|_| Then::Wait);
+    let mut client = Client::connect(upstream.addr).expect("connects");
+    client.send(&get("r", "1m"));
+    upstream.request();
+    upstream.kill();
+    assert!(client.answer().is_none());
+    assert!(Client::connect(upstream.addr).is_none(), "nobody listens");
+}
+
+#[test]
+fn more_than_may_wait_for_a_core_is_turned_away_unseen() {
+    let ledger = Arc::new(Ledger::new());
+    let options = Options { ledger: Some(ledger.clone()), queue: 0, ..Options::named("s-1") };
+    let upstream = Upstream::with(options, |_| Then::Work(Duration::from_millis(300), ok_text("x")));
+    let mut first = Client::connect(upstream.addr).expect("connects");
+    first.send(&get("r1", "1m"));
+    let started = std::time::Instant::now();
+    while upstream.busy() == 0 {
+        assert!(started.elapsed() < testkit::PATIENCE);
+        thread::yield_now();
+    }
+    let second = Client::connect(upstream.addr).expect("connects").call(&get("r2", "1m"));
+    assert_eq!((second.status(), second.header("srv-declined")), (503, Some("1")));
+    assert_eq!(first.answer().expect("an answer").status(), 200);
+    let ran = |r: &testkit::ledger::Record| matches!(r.entry, Entry::Executed { .. });
+    assert_eq!(ledger.since(0).iter().filter(|r| ran(r)).count(), 1);
+}
+
+#[test]
+fn a_registry_answers_whole_lists_and_watches() {
+    let ledger = Arc::new(Ledger::new());
+    let registry = Registry::new(Some(ledger.clone()));
+    let addr = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
+    let listed = |state| Listed { addr, group: 2, state, started_ms: 5 };
+    registry.set("s-1", listed("active"));
+    registry.set("s-2", listed("leaving"));
+    let asked = registry.open("n1").expect("a port");
+    let call = |path: &str| {
+        let text = format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n");
+        String::from_utf8(Client::connect(asked).expect("connects").call(&text).body).expect("text")
+    };
+    let whole = call("/api/targets");
+    assert!(whole.starts_with(r#"{"version":2,"full":true,"servers":[{"id":"s-1","#), "{whole}");
+    assert!(call("/api/targets?since=2&timeout_ms=1").contains(r#""full":false,"servers":[]"#));
+    let changes = thread::scope(|scope| {
+        let watch = scope.spawn(|| call("/api/targets?since=2&timeout_ms=20000"));
+        registry.state("s-1", "left");
+        watch.join().expect("no panic")
+    });
+    assert!(changes.contains(r#""version":3"#) && changes.contains(r#""state":"left""#), "{changes}");
+    assert!(!changes.contains("s-2"), "only what changed");
+    assert!(!call("/api/targets").contains("s-1"), "what has left is on no whole list");
+    let told =
+        |r: &testkit::ledger::Record| matches!(&r.entry, Entry::Told { balancer, .. } if balancer == "n1");
+    assert!(ledger.since(0).iter().filter(|r| told(r)).count() >= 4);
+}
