--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,513 @@
+//! What a supervisor of many balancer processes decides, as a state machine without I/O.
+//!
+//! A [`Fleet`] is told what happens to the processes of its instances ([`Event`]) and answers with what to do
+//! ([`Action`]). Instances are numbered from zero; each process that it starts gets a number of its own, so that news of
+//! an old one is never taken for news of the new. `now` is the time since the supervisor began and never goes back.
+//!
+//! Starts are spread out. What crashes is started again after a pause that doubles, and given up after too many crashes
+//! within a window. A roll restarts, reloads or takes over instances a few at a time, waits for each to be ready and
+//! for all others to be so too, and halts, with the reason, at the first that is not.
+use std::collections::{BTreeSet, VecDeque};
+use std::fmt;
+use std::time::Duration;
+
+/// The supervisor's figures.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Figures {
+    /// The pause between two starts at the beginning.
+    pub spread: Duration,
+    /// How long a process may take until it is ready, and a reload until it is done.
+    pub ready_within: Duration,
+    /// How long a process that was told to end may take; then it is killed.
+    pub stop_within: Duration,
+    /// The pause before the first restart of what crashed; it doubles with each crash, up to the most.
+    pub pause: Duration,
+    /// The longest pause.
+    pub pause_most: Duration,
+    /// So many crashes of an instance within the window, and it is given up.
+    pub crashes: usize,
+    /// The window.
+    pub window: Duration,
+    /// Instances that a roll takes at once.
+    pub at_once: usize,
+}
+
+impl Default for Figures {
+    fn default() -> Self {
+        Figures {
+            spread: Duration::from_millis(100),
+            ready_within: Duration::from_secs(30),
+            stop_within: Duration::from_secs(10),
+            pause: Duration::from_millis(500),
+            pause_most: Duration::from_secs(30),
+            crashes: 5,
+            window: Duration::from_secs(60),
+            at_once: 1,
+        }
+    }
+}
+
+/// A process that the supervisor started or found, numbered over all instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Process(pub u64);
+
+/// What a roll does to each instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Roll {
+    /// Ends the process and starts another.
+    Restart,
+    /// Starts another that takes the sockets over; the old one ends by itself.
+    TakeOver,
+    /// Has it read its files again.
+    Reload,
+}
+
+/// What the operator wants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Roll through all instances.
+    Roll(Roll),
+    /// End them all.
+    Stop,
+    /// Start again what was given up or stopped.
+    Start,
+}
+
+/// What happens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A process is ready, at first or after a reload that it took.
+    Ready(Process),
+    /// A process did not take the files that it was told to read again.
+    NotReloaded(Process, String),
+    /// A process has ended; `clean`: by itself, with status 0.
+    Ended {
+        /// Which.
+        process: Process,
+        /// With status 0.
+        clean: bool,
+        /// In words.
+        how: String,
+    },
+    /// The operator's wish.
+    Command(Command),
+    /// Nothing but time has passed.
+    Time,
+}
+
+/// A signal to a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Read the files again (SIGHUP).
+    Reload,
+    /// End (SIGTERM).
+    End,
+    /// End at once (SIGKILL).
+    Kill,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Start a process; one that takes over finds the old one's socket by itself.
+    Start {
+        /// For this instance.
+        instance: usize,
+        /// With this number.
+        process: Process,
+    },
+    /// Send a signal.
+    Signal(Process, Signal),
+    /// A command was not taken, for this reason.
+    Refused(&'static str),
+    /// A roll has come to its end: all instances took it.
+    Rolled(Roll),
+    /// A roll was halted; the instances behind were not touched.
+    Halted {
+        /// At which instance.
+        instance: usize,
+        /// Why.
+        why: String,
+    },
+    /// An instance is given up, for this reason.
+    GivenUp {
+        /// Which.
+        instance: usize,
+        /// Why.
+        why: String,
+    },
+    /// All processes have ended, as they were told.
+    Stopped,
+}
+
+/// How an instance stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Its next process starts then.
+    Waiting(Duration),
+    /// Its process is not ready yet.
+    Starting,
+    /// Serving.
+    Ready,
+    /// Serving, and reading its files again.
+    Reloading,
+    /// Its process was told to end; another follows.
+    Restarting,
+    /// Its process was told to end.
+    Stopping,
+    /// It has none, as the operator wants.
+    Stopped,
+    /// It is not started any more.
+    GivenUp(String),
+}
+
+impl fmt::Display for State {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            State::Waiting(_) => "waiting",
+            State::Starting => "starting",
+            State::Ready => "ready",
+            State::Reloading => "reloading",
+            State::Restarting => "restarting",
+            State::Stopping => "stopping",
+            State::Stopped => "stopped",
+            State::GivenUp(_) => "given up",
+        })
+    }
+}
+
+/// One instance.
+#[derive(Clone, Debug)]
+pub struct Instance {
+    /// How it stands.
+    pub state: State,
+    /// Its process, if it has one.
+    pub process: Option<Process>,
+    /// One that is to take over from that, and is not ready yet.
+    pub successor: Option<Process>,
+    /// Those that passed their sockets on and have not ended.
+    pub leaving: BTreeSet<Process>,
+    /// Processes started after the first.
+    pub restarts: u64,
+    /// When the present state or successor counts as too slow.
+    due: Duration,
+    /// It has had a process.
+    started: bool,
+    killed: bool,
+    /// Crashes within the window, and those in a row.
+    crashes: VecDeque<Duration>,
+    row: u32,
+}
+
+struct Rolling {
+    roll: Roll,
+    queue: VecDeque<usize>,
+    busy: BTreeSet<usize>,
+}
+
+/// Most processes that may be leaving for one instance before a take-over waits.
+const LEAVING_MOST: usize = 4;
+
+/// The state machine; see the crate's page.
+pub struct Fleet {
+    figures: Figures,
+    instances: Vec<Instance>,
+    rolling: Option<Rolling>,
+    next: u64,
+    stopping: bool,
+}
+
+impl Fleet {
+    /// So many instances, to be started one after another.
+    pub fn new(instances: usize, figures: Figures) -> Fleet {
+        let instance = |k: usize| Instance {
+            state: State::Waiting(figures.spread.saturating_mul(u32::try_from(k).unwrap_or(u32::MAX))),
+            process: None,
+            successor: None,
+            leaving: BTreeSet::new(),
+            restarts: 0,
+            due: Duration::MAX,
+            started: false,
+            killed: false,
+            crashes: VecDeque::new(),
+            row: 0,
+        };
+        let instances = (0..instances).map(instance).collect();
+        Fleet { figures, instances, rolling: None, next: 0, stopping: false }
+    }
+
+    /// Takes a process over that was found running, before anything else happens.
+    pub fn adopt(&mut self, now: Duration, instance: usize, ready: bool) -> Process {
+        let process = self.number();
+        let due = now + self.figures.ready_within;
+        if let Some(i) = self.instances.get_mut(instance) {
+            (i.process, i.started) = (Some(process), true);
+            (i.state, i.due) = if ready { (State::Ready, Duration::MAX) } else { (State::Starting, due) };
+        }
+        process
+    }
+
+    /// The instances.
+    pub fn instances(&self) -> &[Instance] {
+        &self.instances
+    }
+
+    /// The roll that is going on, and how many instances it has still to take.
+    pub fn rolling(&self) -> Option<(Roll, usize)> {
+        self.rolling.as_ref().map(|r| (r.roll, r.queue.len() + r.busy.len()))
+    }
+
+    /// When it wants to be told of the time.
+    pub fn wake(&self) -> Option<Duration> {
+        let of = |i: &Instance| match i.state {
+            State::Waiting(at) => at.min(i.due),
+            _ => i.due,
+        };
+        self.instances.iter().map(of).min().filter(|&at| at < Duration::MAX)
+    }
+
+    fn number(&mut self) -> Process {
+        self.next += 1;
+        Process(self.next)
+    }
+
+    /// The instance of a process, unless it is known to have ended.
+    fn of(&self, p: Process) -> Option<usize> {
+        let has = |i: &Instance| i.process == Some(p) || i.successor == Some(p) || i.leaving.contains(&p);
+        self.instances.iter().position(has)
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Ready(process) => self.ready(process),
+            Event::NotReloaded(process, why) => {
+                if let Some(i) = self.of(process).filter(|&i| self.instances[i].state == State::Reloading) {
+                    // It serves on with what it had.
+                    (self.instances[i].state, self.instances[i].due) = (State::Ready, Duration::MAX);
+                    self.halt_at(i, format!("did not take its files: {why}"), actions);
+                }
+            }
+            Event::Ended { process, clean, how } => self.ended(now, process, clean, &how, actions),
+            Event::Command(command) => self.command(now, command, actions),
+            Event::Time => {}
+        }
+        self.overdue(now, actions);
+        self.start_due(now, actions);
+        self.roll_on(now, actions);
+    }
+
+    fn ready(&mut self, process: Process) {
+        let Some(i) = self.of(process) else { return };
+        let i = &mut self.instances[i];
+        if i.successor == Some(process) {
+            i.leaving.extend(i.process);
+            (i.process, i.successor, i.restarts) = (Some(process), None, i.restarts + 1);
+            (i.state, i.due) = (State::Ready, Duration::MAX);
+        } else if i.process == Some(process) && matches!(i.state, State::Starting | State::Reloading) {
+            (i.state, i.due) = (State::Ready, Duration::MAX);
+        }
+    }
+
+    fn ended(&mut self, now: Duration, process: Process, clean: bool, how: &str, actions: &mut Vec<Action>) {
+        let Some(k) = self.of(process) else { return };
+        let i = &mut self.instances[k];
+        if i.leaving.remove(&process) {
+            return;
+        }
+        if i.successor == Some(process) {
+            (i.successor, i.due) = (None, Duration::MAX);
+            return self.halt_at(
+                k,
+                format!("the process that was to take over ended before it was ready: {how}"),
+                actions,
+            );
+        }
+        if let Some(successor) = i.successor.take() {
+            // The sockets are left to the one that was to take over; it starts like any other now.
+            let crashed = !matches!(i.state, State::Stopping | State::Restarting);
+            (i.process, i.killed) = (Some(successor), false);
+            i.state = if i.state == State::Stopping { State::Stopping } else { State::Starting };
+            i.due = now + self.figures.ready_within;
+            if crashed {
+                self.halt_at(k, format!("crashed: {how}"), actions);
+            }
+            return;
+        }
+        (i.process, i.killed, i.due) = (None, false, Duration::MAX);
+        match i.state {
+            State::Stopping => i.state = State::Stopped,
+            State::Restarting => i.state = State::Waiting(now),
+            _ => {
+                let said = if clean { "it ended by itself" } else { how };
+                self.crashed(now, k, said.into(), actions);
+            }
+        }
+        if self.stopping && self.instances.iter().all(|i| i.process.is_none()) {
+            self.stopping = false;
+            actions.push(Action::Stopped);
+        }
+    }
+
+    fn crashed(&mut self, now: Duration, k: usize, how: String, actions: &mut Vec<Action>) {
+        let f = &self.figures;
+        let i = &mut self.instances[k];
+        i.crashes.retain(|&at| now < at + f.window);
+        // What has run for long starts with the first pause again.
+        i.row = if i.crashes.is_empty() { 0 } else { i.row };
+        i.crashes.push_back(now);
+        if i.crashes.len() >= f.crashes {
+            let why = format!("{} crashes within {:?}, the last: {how}", i.crashes.len(), f.window);
+            i.state = State::GivenUp(why.clone());
+            actions.push(Action::GivenUp { instance: k, why });
+        } else {
+            let pause = f.pause.saturating_mul(1 << i.row.min(20)).min(f.pause_most);
+            i.row += 1;
+            i.state = State::Waiting(now + pause);
+        }
+        self.halt_at(k, format!("crashed: {how}"), actions);
+    }
+
+    /// Halts a roll that is busy with this instance.
+    fn halt_at(&mut self, k: usize, why: String, actions: &mut Vec<Action>) {
+        if self.rolling.as_ref().is_some_and(|r| r.busy.contains(&k)) {
+            self.rolling = None;
+            actions.push(Action::Halted { instance: k, why });
+        }
+    }
+
+    fn command(&mut self, now: Duration, command: Command, actions: &mut Vec<Action>) {
+        match command {
+            Command::Roll(_) if self.stopping => actions.push(Action::Refused("the fleet is being stopped")),
+            Command::Roll(_) if self.rolling.is_some() => actions.push(Action::Refused("a roll is going on")),
+            Command::Roll(roll) => {
+                let queue = (0..self.instances.len()).collect();
+                self.rolling = Some(Rolling { roll, queue, busy: BTreeSet::new() });
+            }
+            Command::Start => {
+                for i in &mut self.instances {
+                    if matches!(i.state, State::GivenUp(_) | State::Stopped) {
+                        (i.state, i.row) = (State::Waiting(now), 0);
+                        i.crashes.clear();
+                    }
+                }
+            }
+            Command::Stop => {
+                (self.rolling, self.stopping) = (None, true);
+                for i in &mut self.instances {
+                    match i.process {
+                        Some(process) => {
+                            (i.state, i.due) = (State::Stopping, now + self.figures.stop_within);
+                            actions.push(Action::Signal(process, Signal::End));
+                        }
+                        None => i.state = State::Stopped,
+                    }
+                    actions.extend(i.successor.map(|p| Action::Signal(p, Signal::End)));
+                }
+                if self.instances.iter().all(|i| i.process.is_none()) {
+                    self.stopping = false;
+                    actions.push(Action::Stopped);
+                }
+            }
+        }
+    }
+
+    /// Ends what has taken too long.
+    fn overdue(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        for k in 0..self.instances.len() {
+            let (ready_within, stop_within) = (self.figures.ready_within, self.figures.stop_within);
+            let i = &mut self.instances[k];
+            if now < i.due {
+                continue;
+            }
+            i.due = Duration::MAX;
+            if let (Some(successor), State::Ready) = (i.successor, &i.state) {
+                actions.push(Action::Signal(successor, Signal::Kill));
+                let why = format!("the process that was to take over is not ready after {ready_within:?}");
+                self.halt_at(k, why, actions);
+                continue;
+            }
+            let Some(process) = i.process else { continue };
+            match i.state {
+                State::Starting => {
+                    // It ends as a crash does, with a pause before the next: it may need one.
+                    actions.push(Action::Signal(process, Signal::Kill));
+                    self.halt_at(k, format!("not ready after {ready_within:?}"), actions);
+                }
+                State::Reloading => {
+                    i.state = State::Ready;
+                    self.halt_at(k, format!("not ready after a reload and {ready_within:?}"), actions);
+                }
+                State::Stopping | State::Restarting if !i.killed => {
+                    (i.killed, i.due) = (true, now + stop_within);
+                    actions.push(Action::Signal(process, Signal::Kill));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn start_due(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        for instance in 0..self.instances.len() {
+            if matches!(self.instances[instance].state, State::Waiting(at) if now >= at) {
+                let process = self.number();
+                let i = &mut self.instances[instance];
+                i.restarts += u64::from(std::mem::replace(&mut i.started, true));
+                (i.state, i.process, i.due) =
+                    (State::Starting, Some(process), now + self.figures.ready_within);
+                actions.push(Action::Start { instance, process });
+            }
+        }
+    }
+
+    /// Takes the next instances, once those that it is busy with and all others are ready.
+    fn roll_on(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let Some(mut r) = self.rolling.take() else { return };
+        r.busy.retain(|&k| self.instances[k].state != State::Ready || self.instances[k].successor.is_some());
+        while r.busy.len() < self.figures.at_once.max(1) {
+            let others = (0..self.instances.len()).filter(|k| !r.busy.contains(k));
+            if let Some(bad) = others.clone().find(|&k| {
+                matches!(self.instances[k].state, State::GivenUp(_) | State::Stopped | State::Stopping)
+            }) {
+                let why = format!("is {}", self.instances[bad].state);
+                return actions.push(Action::Halted { instance: bad, why });
+            }
+            if others.clone().any(|k| self.instances[k].state != State::Ready) {
+                break;
+            }
+            let Some(&k) = r.queue.front() else { break };
+            if r.roll == Roll::TakeOver && self.instances[k].leaving.len() >= LEAVING_MOST {
+                let why = format!("{LEAVING_MOST} old processes have not ended yet");
+                return actions.push(Action::Halted { instance: k, why });
+            }
+            r.queue.pop_front();
+            r.busy.insert(k);
+            self.take(now, k, r.roll, actions);
+        }
+        if r.busy.is_empty() && r.queue.is_empty() {
+            return actions.push(Action::Rolled(r.roll));
+        }
+        self.rolling = Some(r);
+    }
+
+    fn take(&mut self, now: Duration, k: usize, roll: Roll, actions: &mut Vec<Action>) {
+        let (ready_within, stop_within) = (self.figures.ready_within, self.figures.stop_within);
+        let successor = if roll == Roll::TakeOver { Some(self.number()) } else { None };
+        let i = &mut self.instances[k];
+        let Some(process) = i.process else { return };
+        match roll {
+            Roll::Restart => {
+                (i.state, i.due) = (State::Restarting, now + stop_within);
+                actions.push(Action::Signal(process, Signal::End));
+            }
+            Roll::Reload => {
+                (i.state, i.due) = (State::Reloading, now + ready_within);
+                actions.push(Action::Signal(process, Signal::Reload));
+            }
+            Roll::TakeOver => {
+                (i.successor, i.due) = (successor, now + ready_within);
+                actions.extend(successor.map(|process| Action::Start { instance: k, process }));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/fleet.rs
@@ -0,0 +1,338 @@
+//! The supervisor's decisions, path by path, and what holds on every path.
+use fleet::{Action, Command, Event, Figures, Fleet, Process, Roll, Signal, State};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn ended(process: Process) -> Event {
+    Event::Ended { process, clean: false, how: "signal 9".into() }
+}
+
+struct Run(Fleet);
+
+impl Run {
+    fn at(&mut self, now: u64, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.0.handle(ms(now), event, &mut actions);
+        actions
+    }
+
+    /// Three instances, all ready by 1 s; their processes are 1, 2 and 3.
+    fn ready() -> Run {
+        let mut run = Run(Fleet::new(3, Figures::default()));
+        run.at(200, Event::Time);
+        for p in 1..=3 {
+            run.at(1000, Event::Ready(Process(p)));
+        }
+        assert!(run.0.instances().iter().all(|i| i.state == State::Ready));
+        run
+    }
+
+    fn roll(roll: Roll) -> (Run, Vec<Action>) {
+        let mut run = Run::ready();
+        let actions = run.at(2000, Event::Command(Command::Roll(roll)));
+        (run, actions)
+    }
+}
+
+fn start(instance: usize, process: u64) -> Action {
+    Action::Start { instance, process: Process(process) }
+}
+
+fn end(process: u64) -> Action {
+    Action::Signal(Process(process), Signal::End)
+}
+
+#[test]
+fn starts_are_spread_out() {
+    let mut run = Run(Fleet::new(3, Figures::default()));
+    assert_eq!(run.at(0, Event::Time), [start(0, 1)]);
+    assert_eq!(run.0.wake(), Some(ms(100)));
+    assert_eq!(run.at(99, Event::Time), []);
+    assert_eq!(run.at(250, Event::Time), [start(1, 2), start(2, 3)]);
+}
+
+#[test]
+fn what_crashes_is_started_again_after_growing_pauses_and_given_up_in_the_end() {
+    let mut run = Run::ready();
+    let (mut now, mut process, mut pauses) = (2000, 1, Vec::new());
+    loop {
+        let actions = run.at(now, ended(Process(process)));
+        if let Some(Action::GivenUp { instance: 0, why }) = actions.first() {
+            assert!(why.contains("5 crashes") && why.contains("signal 9"), "{why}");
+            break;
+        }
+        let State::Waiting(at) = run.0.instances()[0].state else { panic!("{actions:?}") };
+        pauses.push((at - ms(now)).as_millis());
+        now = at.as_millis() as u64;
+        let actions = run.at(now, Event::Time);
+        let [Action::Start { instance: 0, process: next }] = actions[..] else { panic!("{actions:?}") };
+        process = next.0;
+    }
+    assert_eq!(pauses, [500, 1000, 2000, 4000]);
+    assert!(run.at(999_000, Event::Time).is_empty(), "given up");
+    assert_eq!(run.at(999_000, Event::Command(Command::Start)).len(), 1, "until the operator wants it");
+    // Long after the last crash the first pause holds again.
+    let mut rare = Run::ready();
+    for at in [10_000, 100_000] {
+        let process = rare.0.instances()[0].process.expect("it runs");
+        rare.at(at, ended(process));
+        assert_eq!(rare.0.instances()[0].state, State::Waiting(ms(at + 500)));
+        rare.at(at + 500, Event::Time);
+    }
+}
+
+#[test]
+fn a_restart_rolls_one_at_a_time_and_waits_for_each_to_be_ready() {
+    let (mut run, actions) = Run::roll(Roll::Restart);
+    assert_eq!(actions, [end(1)]);
+    assert_eq!(
+        run.at(2500, Event::Ended { process: Process(1), clean: true, how: String::new() }),
+        [start(0, 4)]
+    );
+    assert_eq!(run.at(2600, Event::Time), []);
+    assert_eq!(run.at(2700, Event::Ready(Process(4))), [end(2)]);
+    assert_eq!(
+        run.at(2800, Event::Command(Command::Roll(Roll::Reload))),
+        [Action::Refused("a roll is going on")]
+    );
+    run.at(3000, ended(Process(2)));
+    assert_eq!(run.at(3100, Event::Ready(Process(5))), [end(3)]);
+    run.at(3200, ended(Process(3)));
+    assert_eq!(run.at(3300, Event::Ready(Process(6))), [Action::Rolled(Roll::Restart)]);
+    assert_eq!(run.0.rolling(), None);
+    assert!(run.0.instances().iter().all(|i| i.restarts == 1));
+}
+
+#[test]
+fn a_roll_halts_at_the_first_that_is_not_ready() {
+    // It crashes.
+    let (mut run, _) = Run::roll(Roll::Restart);
+    run.at(2500, ended(Process(1)));
+    let actions = run.at(2600, ended(Process(4)));
+    assert!(
+        matches!(&actions[..], [Action::Halted { instance: 0, why }] if why.contains("signal 9")),
+        "{actions:?}"
+    );
+    assert_eq!(run.at(3200, Event::Time), [start(0, 5)], "it is started again, and the roll is over");
+    assert_eq!(run.at(3300, Event::Ready(Process(5))), []);
+    // It takes too long.
+    let (mut run, _) = Run::roll(Roll::Restart);
+    run.at(2500, ended(Process(1)));
+    let actions = run.at(32_500, Event::Time);
+    assert_eq!(actions[0], Action::Signal(Process(4), Signal::Kill));
+    assert!(
+        matches!(&actions[1], Action::Halted { instance: 0, why } if why.contains("not ready after 30s"))
+    );
+    // It does not take its files.
+    let (mut run, actions) = Run::roll(Roll::Reload);
+    assert_eq!(actions, [Action::Signal(Process(1), Signal::Reload)]);
+    let actions = run.at(2100, Event::NotReloaded(Process(1), "limits.head".into()));
+    assert!(matches!(&actions[..], [Action::Halted { instance: 0, why }] if why.contains("limits.head")));
+    assert_eq!(run.0.instances()[0].state, State::Ready, "it serves on with what it had");
+}
+
+/// Guards against a roll that goes on while another instance is down: it would take the last one away.
+#[test]
+fn a_roll_waits_for_what_crashed_elsewhere_and_halts_when_that_is_given_up() {
+    let (mut run, _) = Run::roll(Roll::Restart);
+    run.at(2100, ended(Process(3)));
+    run.at(2500, ended(Process(1)));
+    assert_eq!(run.at(2550, Event::Ready(Process(4))), [], "instance 2 is down");
+    run.at(2600, Event::Time);
+    assert_eq!(run.at(2700, Event::Ready(Process(5))), [end(2)]);
+    let (mut run, _) = Run::roll(Roll::Restart);
+    let mut now = 2000;
+    loop {
+        now += 100;
+        let Some(process) = run.0.instances()[2].process else {
+            if run.at(now, Event::Time).iter().any(|a| matches!(a, Action::GivenUp { .. })) || now > 60_000 {
+                break;
+            }
+            if matches!(run.0.instances()[2].state, State::GivenUp(_)) {
+                break;
+            }
+            continue;
+        };
+        run.at(now, ended(process));
+    }
+    run.at(now, ended(Process(1)));
+    let process = run.0.instances()[0].process.expect("started again");
+    let actions = run.at(now + 100, Event::Ready(process));
+    assert!(
+        matches!(&actions[..], [Action::Halted { instance: 2, why }] if why == "is given up"),
+        "{actions:?}"
+    );
+}
+
+#[test]
+fn a_take_over_lets_the_old_process_be_until_the_new_one_is_ready() {
+    let (mut run, actions) = Run::roll(Roll::TakeOver);
+    assert_eq!(actions, [start(0, 4)]);
+    assert_eq!(run.at(2100, Event::Ready(Process(4))), [start(1, 5)]);
+    assert_eq!(run.0.instances()[0].process, Some(Process(4)));
+    // The old one ends in its own time, and that is no crash.
+    assert_eq!(run.at(9000, Event::Ended { process: Process(1), clean: true, how: String::new() }), []);
+    assert_eq!(run.0.instances()[0].state, State::Ready);
+    // The next one never becomes ready: nothing has changed for the process that serves.
+    let actions = run.at(9100, ended(Process(5)));
+    assert!(
+        matches!(&actions[..], [Action::Halted { instance: 1, why }] if why.contains("before it was ready"))
+    );
+    assert_eq!(
+        (run.0.instances()[1].process, &run.0.instances()[1].state),
+        (Some(Process(2)), &State::Ready)
+    );
+    // Or it hangs.
+    let (mut run, _) = Run::roll(Roll::TakeOver);
+    let actions = run.at(32_000, Event::Time);
+    assert_eq!(actions[0], Action::Signal(Process(4), Signal::Kill));
+    assert!(matches!(&actions[1], Action::Halted { instance: 0, .. }));
+    assert_eq!(run.at(32_100, ended(Process(4))), []);
+    assert_eq!(run.0.instances()[0].state, State::Ready);
+}
+
+/// Guards against two processes of one instance that both believe to be the only one.
+#[test]
+fn when_the_old_process_dies_during_a_take_over_the_new_one_is_the_instance() {
+    let (mut run, _) = Run::roll(Roll::TakeOver);
+    let actions = run.at(2100, ended(Process(1)));
+    assert!(matches!(&actions[..], [Action::Halted { instance: 0, why }] if why.starts_with("crashed")));
+    assert_eq!(run.at(9000, Event::Time), [], "no third one is started");
+    run.at(9100, Event::Ready(Process(4)));
+    assert_eq!(
+        (run.0.instances()[0].process, &run.0.instances()[0].state),
+        (Some(Process(4)), &State::Ready)
+    );
+}
+
+#[test]
+fn several_are_taken_at_once_where_that_is_set() {
+    let mut run = Run(Fleet::new(3, Figures { at_once: 2, ..Figures::default() }));
+    run.at(200, Event::Time);
+    for p in 1..=3 {
+        run.at(1000, Event::Ready(Process(p)));
+    }
+    assert_eq!(run.at(2000, Event::Command(Command::Roll(Roll::Restart))), [end(1), end(2)]);
+}
+
+#[test]
+fn all_are_stopped_and_what_does_not_end_is_killed() {
+    let mut run = Run::ready();
+    assert_eq!(run.at(2000, Event::Command(Command::Stop)), [end(1), end(2), end(3)]);
+    run.at(2100, ended(Process(1)));
+    run.at(2200, ended(Process(3)));
+    assert_eq!(run.at(12_000, Event::Time), [Action::Signal(Process(2), Signal::Kill)]);
+    assert_eq!(run.at(12_100, ended(Process(2))), [Action::Stopped]);
+    assert!(run.at(99_000, Event::Time).is_empty(), "nothing is started again");
+}
+
+#[test]
+fn what_was_found_running_is_not_started_again() {
+    let mut fleet = Fleet::new(2, Figures::default());
+    let found = fleet.adopt(ms(0), 0, true);
+    let mut run = Run(fleet);
+    let actions = run.at(100, Event::Time);
+    assert!(matches!(actions[..], [Action::Start { instance: 1, .. }]));
+    run.at(200, ended(found));
+    assert_eq!(run.0.instances()[0].state, State::Waiting(ms(700)), "it crashed like any other");
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ready(usize),
+    Ended(usize),
+    NotReloaded(usize),
+    Command(Command),
+    Time,
+}
+
+fn steps() -> impl Strategy<Value = Vec<(u64, Step)>> {
+    let command = prop_oneof![
+        4 => Just(Command::Roll(Roll::Restart)),
+        4 => Just(Command::Roll(Roll::TakeOver)),
+        2 => Just(Command::Roll(Roll::Reload)),
+        1 => Just(Command::Stop),
+        1 => Just(Command::Start),
+    ];
+    let step = prop_oneof![
+        6 => (0usize..8).prop_map(Step::Ready),
+        4 => (0usize..8).prop_map(Step::Ended),
+        1 => (0usize..8).prop_map(Step::NotReloaded),
+        2 => command.prop_map(Step::Command),
+        4 => Just(Step::Time),
+    ];
+    proptest::collection::vec((0u64..5000, step), 0..80)
+}
+
+proptest! {
+    // The same cases every time, so that the verdict is the same.
+    #![proptest_config(ProptestConfig {
+        cases: 2000,
+        rng_seed: RngSeed::Fixed(8),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// On every path: one process an instance but for a take-over, no more than one instance down by our own doing, no
+    /// signal to what has ended, and no crash loop.
+    #[test]
+    fn whatever_happens_no_more_is_taken_away_than_was_said(steps in steps()) {
+        let mut fleet = Fleet::new(4, Figures::default());
+        // Processes that run, and their instance.
+        let mut running: BTreeMap<Process, usize> = BTreeMap::new();
+        let (mut now, mut actions) = (0, Vec::new());
+        for (gap, step) in steps {
+            now += gap;
+            let pick = |n: usize| running.keys().nth(n % running.len().max(1)).copied();
+            let event = match step {
+                Step::Ready(n) => pick(n).map(Event::Ready),
+                Step::Ended(n) => pick(n).map(ended),
+                Step::NotReloaded(n) => pick(n).map(|p| Event::NotReloaded(p, "x".into())),
+                Step::Command(command) => Some(Event::Command(command)),
+                Step::Time => None,
+            }
+            .unwrap_or(Event::Time);
+            if let Event::Ended { process, .. } = &event {
+                running.remove(process);
+            }
+            let rolling = fleet.rolling();
+            fleet.handle(ms(now), event.clone(), &mut actions);
+            for action in actions.drain(..) {
+                match action {
+                    Action::Start { instance, process } => {
+                        prop_assert!(running.insert(process, instance).is_none());
+                        let taking_over = fleet.instances()[instance].successor == Some(process);
+                        let others = running.iter().filter(|&(p, i)| *i == instance && *p != process).count();
+                        prop_assert!(taking_over || others == fleet.instances()[instance].leaving.len());
+                        prop_assert!(others <= 5, "bounded");
+                    }
+                    Action::Signal(process, signal) => {
+                        prop_assert!(running.contains_key(&process), "a signal to what has ended");
+                        if signal == Signal::End && event != Event::Command(Command::Stop) && fleet.rolling().is_some() {
+                            let up = fleet.instances().iter().filter(|i| i.state == State::Ready).count();
+                            prop_assert!(up >= 3, "a restart beside another that is down");
+                        }
+                    }
+                    Action::Halted { .. } | Action::Rolled(_) => prop_assert!(fleet.rolling().is_none()),
+                    Action::Refused(why) => prop_assert!(rolling.is_some() || why.contains("stopped")),Action::GivenUp { .. } | Action::Stopped => {}
+                }
+            }
+            for i in fleet.instances() {
+                if matches!(i.state, State::Ready | State::Reloading | State::Starting | State::Restarting | State::Stopping) {
+                    prop_assert!(i.process.is_some_and(|p| running.contains_key(&p)), "{i:?}");
+                } else {
+                    prop_assert!(i.process.is_none(), "{i:?}");
+                }
+            }
+            if let Some(wake) = fleet.wake() {
+                prop_assert!(wake > ms(now), "it wants to be told of what it was told");
+            }
+        }
+    }
+}
--- a/crates/herondock/src/config.rs
+++ b/crates/herondock/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration file as typed values. Whatever is wrong with it is named with the field at fault.
 use crate::members::discovery::{self, Names};
-use crate::members::Listing;
+use crate::members::{fnv1a, Listing};
 use oakflow_settings::operator::read_whole;
 use oakflow_settings::Deployment;
 use serde::Deserialize;
@@ -48,6 +48,8 @@
     pub known: Option<Listing>,
     /// The settings, for the module and for the sockets.
     pub deployment: Deployment,
+    /// The same for the same text of the settings.
+    pub fingerprint: u64,
 }
 
 /// Reads the file that `NODE_CONFIG` names.
@@ -95,7 +97,8 @@
             None => None,
         };
         let (name, listen, discovery) = (file.name, file.listen, file.discovery);
-        Ok(Config { name, listen, discovery, seed, sockets, known, deployment })
+        let fingerprint = fnv1a(file.settings.get().as_bytes());
+        Ok(Config { name, listen, discovery, seed, sockets, known, deployment, fingerprint })
     }
 }
 
--- /dev/null
+++ b/crates/herondock/src/daemon/takeover.rs
@@ -0,0 +1,236 @@
+//! Passing the listening socket from an old process to a new one over a Unix socket.
+//!
+//! ```text
+//! new: take-over 1 NAME\n
+//! old: sockets LENGTH\n        with the listener attached (SCM_RIGHTS), and LENGTH bytes of what goes along;
+//!      or refused WHY\n
+//! new: ready\n                 once it could serve; until then the old one serves as if nothing were going on
+//! old: released\n              it accepts nothing any more
+//! ```
+//!
+//! Either side may end at any time: the end of the connection tells the other. Both run as the same user.
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::TcpListener;
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::Path;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Interest};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::time::timeout;
+
+/// Longest line of the exchange.
+const LINE_MOST: u64 = 256;
+/// Most that goes along with the sockets.
+const ALONG_MOST: usize = 8 << 20;
+/// How long one side waits for the next step of the other that takes no time of its own.
+const STEP: Duration = Duration::from_secs(5);
+
+/// The side of the process that holds the socket.
+pub struct Holder(UnixListener);
+
+/// A process that asks for the socket.
+pub struct Comer {
+    stream: BufReader<UnixStream>,
+    /// What it calls itself.
+    pub name: String,
+}
+
+impl Holder {
+    /// Listens at `path`. What was left there by a process that has ended makes way.
+    ///
+    /// # Errors
+    /// The path can't be had.
+    pub fn bind(path: &Path) -> Result<Holder, String> {
+        let fault = |e: io::Error| format!("daemon.takeover: {}: {e}", path.display());
+        match std::fs::remove_file(path) {
+            Err(e) if e.kind() != ErrorKind::NotFound => return Err(fault(e)),
+            _ => {}
+        }
+        let listener = UnixListener::bind(path).map_err(fault)?;
+        // Only this user may connect; the other end's user is looked at as well.
+        let private = std::os::unix::fs::PermissionsExt::from_mode(0o600);
+        std::fs::set_permissions(path, private).map_err(fault)?;
+        Ok(Holder(listener))
+    }
+
+    /// The next process that asks. One that breaks off, is slow or of another user is passed over.
+    pub async fn next(&self) -> Comer {
+        loop {
+            let Ok((stream, _)) = self.0.accept().await else {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            };
+            let own = rustix::process::geteuid().as_raw();
+            if !stream.peer_cred().is_ok_and(|peer| peer.uid() == own || peer.uid() == 0) {
+                continue;
+            }
+            let mut stream = BufReader::new(stream);
+            if let Ok(Ok(line)) = timeout(STEP, line(&mut stream)).await {
+                if let Some(name) = line.strip_prefix("take-over 1 ") {
+                    return Comer { name: name.into(), stream };
+                }
+                let _ = stream.write_all(b"refused this is version 1\n").await;
+            }
+        }
+    }
+}
+
+impl Comer {
+    /// Turns it away.
+    pub async fn refuse(mut self, why: &str) {
+        // It may have gone already.
+        let _ = timeout(STEP, self.stream.write_all(format!("refused {why}\n").as_bytes())).await;
+    }
+
+    /// Passes the listener on, and waits until the other could serve.
+    ///
+    /// # Errors
+    /// It broke off, or took too long to read.
+    pub async fn pass(mut self, listener: TcpListener, along: &[u8]) -> io::Result<Claimant> {
+        let head = format!("sockets {}\n", along.len());
+        timeout(STEP, send(self.stream.get_ref(), head.as_bytes(), &listener)).await??;
+        // Whoever holds it keeps it open.
+        drop(listener);
+        timeout(STEP, self.stream.write_all(along)).await??;
+        match line(&mut self.stream).await?.as_str() {
+            "ready" => Ok(Claimant(self.stream)),
+            other => Err(io::Error::other(format!("it said {other:?}"))),
+        }
+    }
+}
+
+/// A process that could serve, and waits to be told to.
+pub struct Claimant(BufReader<UnixStream>);
+
+impl Claimant {
+    /// Tells it to accept.
+    pub async fn release(mut self) {
+        // If it has gone, whoever starts next finds the sockets closed, as after any end.
+        let _ = timeout(STEP, self.0.write_all(b"released\n")).await;
+    }
+}
+
+/// What a new process got.
+pub struct Taken {
+    /// The listener; the old process accepts on it still.
+    pub listener: TcpListener,
+    /// What went along.
+    pub along: Vec<u8>,
+    stream: BufReader<UnixStream>,
+}
+
+/// Asks the process that listens at `path` for its listener. `None`: nobody does.
+///
+/// # Errors
+/// It refuses, breaks off, or does not keep to the exchange.
+pub async fn ask(path: &Path, name: &str) -> Result<Option<Taken>, String> {
+    let fault = |e: io::Error| format!("daemon.takeover: {}: {e}", path.display());
+    let stream = match UnixStream::connect(path).await {
+        Ok(stream) => stream,
+        // Nothing is there, or what a process left that has ended.
+        Err(e) if matches!(e.kind(), ErrorKind::NotFound | ErrorKind::ConnectionRefused) => return Ok(None),
+        Err(e) => return Err(fault(e)),
+    };
+    let asked = async {
+        let mut stream = BufReader::new(stream);
+        stream.write_all(format!("take-over 1 {}\n", name.replace(['\n', '\r'], " ")).as_bytes()).await?;
+        let (head, passed) = receive(stream.get_ref()).await?;
+        let mut words = head.splitn(2, ' ');
+        let length = match (words.next(), words.next().unwrap_or("")) {
+            (Some("sockets"), length) => length.parse::<usize>().ok().filter(|&n| n <= ALONG_MOST),
+            (Some("refused"), why) => return Err(io::Error::other(format!("refused: {why}"))),
+            _ => None,
+        };
+        let length = length.ok_or_else(|| io::Error::other(format!("it said {head:?}")))?;
+        let listener = passed.ok_or_else(|| io::Error::other("no socket came"))?;
+        let mut along = vec![0; length];
+        stream.read_exact(&mut along).await?;
+        Ok(Taken { listener: TcpListener::from(listener), along, stream })
+    };
+    timeout(STEP, asked).await.map_err(|_| fault(ErrorKind::TimedOut.into()))?.map(Some).map_err(fault)
+}
+
+impl Taken {
+    /// Waits until the listener is this process's own. Once `ready` ends, the old process is told so; it may also end
+    /// before, which leaves the listener as well.
+    pub async fn released(mut self, ready: impl std::future::Future<Output = ()>) {
+        let mut ready = std::pin::pin!(ready);
+        let mut told = false;
+        loop {
+            tokio::select! {
+                () = &mut ready, if !told => {
+                    told = true;
+                    // Its end shows in the reading.
+                    let _ = self.stream.write_all(b"ready\n").await;
+                }
+                // Nothing else is said, and the end of the connection is the end of the process.
+                _ = line(&mut self.stream) => return,
+            }
+        }
+    }
+}
+
+async fn line(stream: &mut BufReader<UnixStream>) -> io::Result<String> {
+    let mut text = String::new();
+    stream.take(LINE_MOST).read_line(&mut text).await?;
+    match text.strip_suffix('\n') {
+        Some(line) => Ok(line.into()),
+        None => Err(ErrorKind::UnexpectedEof.into()),
+    }
+}
+
+/// Writes a short line with a listener attached.
+async fn send(stream: &UnixStream, text: &[u8], listener: &TcpListener) -> io::Result<()> {
+    stream
+        .async_io(Interest::WRITABLE, || {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+            let mut control = SendAncillaryBuffer::new(&mut space);
+            let passed = [listener.as_fd()];
+            if !control.push(SendAncillaryMessage::ScmRights(&passed)) {
+                return Err(io::Error::other("no room for a descriptor"));
+            }
+            let sent = sendmsg(stream, &[IoSlice::new(text)], &mut control, SendFlags::NOSIGNAL)?;
+            // Short lines go out whole on a connection that nothing was written to.
+            if sent == text.len() {
+                Ok(())
+            } else {
+                Err(ErrorKind::WriteZero.into())
+            }
+        })
+        .await
+}
+
+/// Reads a line byte by byte, so that nothing behind it is taken, and the descriptor that came with it.
+async fn receive(stream: &UnixStream) -> io::Result<(String, Option<OwnedFd>)> {
+    let (mut text, mut passed) = (Vec::new(), None);
+    while text.last() != Some(&b'\n') && (text.len() as u64) < LINE_MOST {
+        let byte = stream
+            .async_io(Interest::READABLE, || {
+                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+                let mut control = RecvAncillaryBuffer::new(&mut space);
+                let mut byte = [0];
+                let got = recvmsg(
+                    stream,
+                    &mut [IoSliceMut::new(&mut byte)],
+                    &mut control,
+                    RecvFlags::CMSG_CLOEXEC,
+                )?;
+                for message in control.drain() {
+                    if let RecvAncillaryMessage::ScmRights(descriptors) = message {
+                        // One is expected; others close here.
+                        passed = descriptors.into_iter().next().or(passed.take());
+                    }
+                }
+                Ok((got.bytes > 0).then_some(byte[0]))
+            })
+            .await?;
+        text.push(byte.ok_or(ErrorKind::UnexpectedEof)?);
+    }
+    let text = String::from_utf8(text).map_err(|_| ErrorKind::InvalidData)?;
+    Ok((text.trim_end().into(), passed))
+}
--- a/crates/herondock/src/demo/world.rs
+++ b/crates/herondock/src/demo/world.rs
@@ -7,7 +7,7 @@
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::os::unix::fs::DirBuilderExt;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -20,6 +20,8 @@
 use testkit::message::{ok_text, Message};
 use testkit::upstream::{Options, Then, Upstream};
 
+/// Any free port.
+const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 const INSTANCES: usize = 3;
 const UPSTREAMS: usize = 6;
 const GROUPS: u32 = 2;
@@ -130,7 +132,7 @@
         let mut servers = Vec::new();
         for k in 0..UPSTREAMS {
             let (name, group) = (format!("u-{}", k + 1), k as u32 % GROUPS + 1);
-            let upstream = Upstream::with(options(&name, group, &ledger, None), works(k as u64));
+            let upstream = Upstream::at(ANY, options(&name, group, &ledger, None), works(k as u64))?;
             registry.set(&name, Listed { addr: upstream.addr, group, state: "active", started_ms: 0 });
             servers.push(Server { name, group, state: "active", upstream });
         }
@@ -234,7 +236,7 @@
             Event::Return => {
                 let server = &mut self.servers[DRAINED];
                 let options = options(&server.name, server.group, &self.ledger, Some(COLD));
-                server.upstream = Upstream::with(options, works(99));
+                server.upstream = Upstream::at(ANY, options, works(99))?;
                 server.state = "cold";
                 let started_ms =
                     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
--- a/crates/herondock/src/driver.rs
+++ b/crates/herondock/src/driver.rs
@@ -5,10 +5,11 @@
 use crate::members::{Audience, Entry, Listing};
 use crate::sockets::Sockets;
 use bytes::Bytes;
-use oakflow::{Action, Availability, Balancer, Ending, Event, Membership, Millis, RequestId, UpstreamId};
+use oakflow::{
+    Action, Availability, Balancer, Ending, Event, Learned, Membership, Millis, RequestId, UpstreamId,
+};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
@@ -66,10 +67,8 @@
 struct Known {
     upstream: Rc<dyn Upstream>,
     gate: Rc<Gate>,
-    addr: SocketAddr,
-    availability: Availability,
-    /// When its process last started.
-    since: Millis,
+    /// Its newest line.
+    entry: Entry,
 }
 
 /// Chooses the transport for an upstream by what it speaks.
@@ -96,12 +95,15 @@
     timer_seq: u64,
     events: VecDeque<Event>,
     listed: bool,
+    /// The version of the newest list, and when it came.
+    version: Option<(u64, Instant)>,
 }
 
 struct Shared {
     driver: RefCell<Driver>,
     timers: Notify,
     subscribe: Notify,
+    known: Notify,
 }
 
 /// The driver as everything else sees it.
@@ -111,6 +113,7 @@
 impl Audience for Handle {
     fn listed(&self, listing: &Listing) {
         self.0.driver.borrow_mut().note_list(listing, listing.full);
+        self.0.known.notify_one();
         let members = listing.members().collect();
         let news = if listing.full { Membership::Full(members) } else { Membership::Delta(members) };
         self.feed(Event::Membership(news));
@@ -195,8 +198,10 @@
             timer_seq: 0,
             events: VecDeque::new(),
             listed: false,
+            version: None,
         };
-        let shared = Shared { driver: RefCell::new(driver), timers: Notify::new(), subscribe: Notify::new() };
+        let driver = RefCell::new(driver);
+        let shared = Shared { driver, timers: Notify::new(), subscribe: Notify::new(), known: Notify::new() };
         Handle(Rc::new(shared))
     }
 
@@ -269,12 +274,39 @@
         self.0.driver.borrow_mut().free_socket();
     }
 
-    /// Takes the saved list.
-    pub fn cached(&self, listing: Option<&Listing>) {
+    /// Waits until upstreams are known.
+    pub async fn known(&self) {
+        while !self.ready() {
+            self.0.known.notified().await;
+        }
+    }
+
+    /// The list of upstreams as it stands, and how old the newest news of it is.
+    pub fn listing(&self) -> Option<(Listing, Duration)> {
+        let d = self.0.driver.borrow();
+        let (version, at) = d.version?;
+        let there = d.upstreams.values().filter(|k| k.entry.member.availability != Availability::Gone);
+        let entries = there.map(|k| k.entry.clone()).collect();
+        Some((Listing { version, full: true, entries }, at.elapsed()))
+    }
+
+    /// What the module has learned.
+    pub fn learned(&self) -> Learned {
+        self.0.driver.borrow().balancer.learned()
+    }
+
+    /// Takes a saved list. With `grace_over` what drains on it gets nothing new from now on: whoever saved it was told
+    /// some time ago.
+    pub fn cached(&self, listing: Option<&Listing>, grace_over: bool) {
         let members = listing.iter().flat_map(|l| l.members()).collect();
         if let Some(listing) = listing {
-            self.0.driver.borrow_mut().note_list(listing, true);
+            let mut d = self.0.driver.borrow_mut();
+            let grace = d.drain_grace;
+            d.drain_grace = if grace_over { Duration::ZERO } else { grace };
+            d.note_list(listing, true);
+            d.drain_grace = grace;
         }
+        self.0.known.notify_one();
         self.feed(Event::Membership(Membership::Cached(members)));
     }
 
@@ -458,7 +490,10 @@
 
     /// Forgets an upstream that is gone once nothing is out to it.
     fn forget_upstream(&mut self, id: UpstreamId) {
-        let gone = self.upstreams.get(&id).is_some_and(|known| known.availability == Availability::Gone);
+        let gone = self
+            .upstreams
+            .get(&id)
+            .is_some_and(|known| known.entry.member.availability == Availability::Gone);
         if gone && !self.attempts.values().any(|a| a.upstream == id) {
             self.upstreams.remove(&id);
         }
@@ -480,10 +515,11 @@
             known.upstream.close_idle();
         };
         self.listed |= !listing.entries.is_empty();
+        self.version = Some((listing.version, Instant::now()));
         if whole {
             for (id, known) in &mut self.upstreams {
                 if !listing.entries.iter().any(|e| e.member.id == *id) {
-                    known.availability = Availability::Gone;
+                    known.entry.member.availability = Availability::Gone;
                     close(known);
                 }
             }
@@ -493,21 +529,20 @@
             let known = self.upstreams.entry(m.id).or_insert_with(|| Known {
                 upstream: (self.transports)(entry),
                 gate: Rc::default(),
-                addr: entry.addr,
-                availability: m.availability,
-                since: m.since,
+                entry: entry.clone(),
             });
             // Another address or another start: the old connections lead nowhere.
-            if known.addr != entry.addr || known.since != m.since {
+            if known.entry.addr != entry.addr || known.entry.member.since != m.since {
                 known.upstream.replaced(entry.addr);
             }
-            (known.addr, known.availability, known.since) = (entry.addr, m.availability, m.since);
+            known.entry = entry.clone();
             match m.availability {
                 Availability::Ready => known.gate.open(),
                 Availability::Draining | Availability::Gone => close(known),
             }
         }
-        let gone = self.upstreams.iter().filter(|(_, known)| known.availability == Availability::Gone);
+        let gone =
+            self.upstreams.iter().filter(|(_, known)| known.entry.member.availability == Availability::Gone);
         for id in gone.map(|(&id, _)| id).collect::<Vec<_>>() {
             self.forget_upstream(id);
         }
--- a/crates/herondock/src/front/http.rs
+++ b/crates/herondock/src/front/http.rs
@@ -3,7 +3,7 @@
 use super::Phase;
 use crate::driver::{Handle, Untaken, Waiting};
 use crate::exchange::{Answer, Method, Request};
-use crate::http::{end_to_end, fields, headers, DEADLINE};
+use crate::http::{fields, headers, DEADLINE};
 use crate::live::Live;
 use crate::log::log;
 use crate::sockets::{Places, Sockets};
@@ -131,10 +131,12 @@
 
     /// Accepts callers until the program closes. Returns once every connection has ended.
     pub async fn run(self: Rc<Server>, listener: TcpListener) {
-        let (mut phase, mut failing) = (self.phase.clone(), false);
+        let (mut phase, mut handed, mut failing) = (self.phase.clone(), self.phase.clone(), false);
         loop {
             let accepted = tokio::select! {
                 biased;
+                // Another process accepts here by now.
+                _ = handed.wait_for(|p| *p == Phase::HandedOver) => break,
                 accepted = listener.accept() => accepted,
                 // Only once nobody waits to be accepted: what they have written counts as taken.
                 _ = phase.wait_for(|p| *p >= Phase::Draining) => break,
@@ -203,7 +205,7 @@
                 // Nothing is owed, and half a request may be in the way of a graceful end.
                 () = link.overdue(&self.limits) => break,
                 () = link.close.notified() => crowded = true,
-                _ = phase.wait_for(|p| *p == Phase::Closing), if !closing => closing = true,
+                _ = phase.wait_for(|p| *p >= Phase::Closing), if !closing => closing = true,
             }
             // What has been written whole to this connection counts as taken, also if nobody has read it yet; half
             // a head on a connection that never asked for anything does not.
@@ -248,7 +250,7 @@
         let refused = response.status().is_client_error();
         link.refused.set(refused);
         // At the end of the program what has been sent behind this request is still answered.
-        let leaving = *self.phase.borrow() == Phase::Closing && !watch.more() && link.stream.quiet();
+        let leaving = *self.phase.borrow() >= Phase::Closing && !watch.more() && link.stream.quiet();
         if refused || last || leaving {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
@@ -279,14 +281,11 @@
             Ok(Err(_)) => return Err(bad("the body is broken")),
             Err(_) => return Err(refuse_input(StatusCode::REQUEST_TIMEOUT, "the body did not come")),
         };
-        let mut headers = head.headers;
-        end_to_end(&mut headers);
-        headers.remove(&DEADLINE);
         let request = Request {
-            name: headers.get("req-id").map(|id| Bytes::copy_from_slice(id.as_bytes())),
+            name: head.headers.get("req-id").map(|id| Bytes::copy_from_slice(id.as_bytes())),
             method,
             target: head.uri.path_and_query().map_or("/", |p| p.as_str()).into(),
-            fields: fields(&headers),
+            fields: fields(&head.headers, &[DEADLINE]),
             body,
             over: Cell::new(false),
         };
--- a/crates/herondock/src/front/mod.rs
+++ b/crates/herondock/src/front/mod.rs
@@ -9,8 +9,10 @@
     Up,
     /// Told to end: new connections are still accepted, and kept ones go on being served.
     Leaving,
-    /// No connection is accepted any more; those that there are go on being served.
+    /// No connection is accepted any more, once nobody waits to be; those that there are go on being served.
     Draining,
     /// Connections end with their next answer, and those between requests are closed.
     Closing,
+    /// The same, and those that wait to be accepted are another process's.
+    HandedOver,
 }
--- a/crates/herondock/src/front/watched.rs
+++ b/crates/herondock/src/front/watched.rs
@@ -9,6 +9,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Instant;
 
+/// Room for a usual head, which is kept for each connection.
+const HEAD_USUAL: usize = 512;
+
 /// What a caller's bytes have told.
 pub struct Watch {
     /// Whole heads read.
@@ -91,6 +94,9 @@
                 self.watch.since.set(Instant::now());
             }
         }
+        if self.head.capacity() == 0 && !bytes.is_empty() {
+            self.head.reserve(HEAD_USUAL);
+        }
         while let Some(end) = bytes.iter().position(|&b| b == b'\n') {
             let (line, rest) = bytes.split_at(end + 1);
             self.head.extend_from_slice(line);
@@ -101,7 +107,9 @@
                     self.watch.ambiguous.set(Some(self.watch.heads.get()));
                     At::Lost
                 });
-                self.head = Vec::new();
+                // Kept for the next head, unless this one was large.
+                self.head.clear();
+                self.head.shrink_to(HEAD_USUAL);
                 return bytes;
             }
         }
--- a/crates/herondock/src/http.rs
+++ b/crates/herondock/src/http.rs
@@ -17,9 +17,9 @@
     header::UPGRADE,
 ];
 
-/// Takes out the headers that belong to one connection (RFC 9110, section 7.6.1); the length of a body is framed
-/// anew.
-pub fn end_to_end(headers: &mut HeaderMap) {
+/// The end-to-end headers of a message as fields, but for those named here: without what belongs to one connection
+/// (RFC 9110, section 7.6.1), and without the length of the body, which is framed anew.
+pub fn fields(headers: &HeaderMap, except: &[HeaderName]) -> Fields {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
@@ -27,14 +27,12 @@
         .flat_map(|v| v.split(','))
         .filter_map(|v| v.trim().parse().ok())
         .collect();
-    for name in HOP.iter().chain(&named).chain(&[header::CONTENT_LENGTH, header::EXPECT]) {
-        headers.remove(name);
-    }
-}
-
-/// The end-to-end headers of a message as fields.
-pub fn fields(headers: &HeaderMap) -> Fields {
-    Fields::new(headers.iter().map(|(name, value)| (name.as_str(), value.as_bytes())))
+    let kept = |name: &HeaderName| {
+        let out = [header::CONTENT_LENGTH, header::EXPECT];
+        !(HOP.contains(name) || out.contains(name) || named.contains(name) || except.contains(name))
+    };
+    let kept = headers.iter().filter(|(name, _)| kept(name));
+    Fields::new(kept.map(|(name, value)| (name.as_str(), value.as_bytes())))
 }
 
 /// Fields as headers. A field that HTTP can't carry, from another protocol, is left out.
--- a/crates/herondock/src/main.rs
+++ b/crates/herondock/src/main.rs
@@ -2,6 +2,7 @@
 mod check;
 mod cli;
 mod config;
+mod daemon;
 mod demo;
 mod driver;
 mod exchange;
--- a/crates/herondock/src/members/mod.rs
+++ b/crates/herondock/src/members/mod.rs
@@ -53,9 +53,14 @@
     fn subscribed(&self) -> impl Future<Output = ()>;
 }
 
-/// A stable id for an upstream's name, the same at every balancer (FNV-1a): the module spreads the balancers
-/// over the upstreams by a ring of these ids, so numbers given in order of arrival would crowd some of them.
+/// A stable id for an upstream's name, the same at every balancer: the module spreads the balancers over the upstreams
+/// by a ring of these ids, so numbers given in order of arrival would crowd some of them.
 pub fn upstream_id(name: &str) -> UpstreamId {
-    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
-    UpstreamId(name.bytes().fold(0xcbf2_9ce4_8422_2325, step))
+    UpstreamId(fnv1a(name.as_bytes()))
+}
+
+/// The FNV-1a hash of 64 bits (draft-eastlake-fnv).
+pub fn fnv1a(bytes: &[u8]) -> u64 {
+    let step = |h: u64, &b: &u8| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, step)
 }
--- a/crates/herondock/src/sockets.rs
+++ b/crates/herondock/src/sockets.rs
@@ -51,6 +51,11 @@
         self.all.available_permits() == 0
     }
 
+    /// Places that callers hold.
+    pub fn callers(&self) -> usize {
+        self.callers_most as usize - self.callers.available_permits().min(self.callers_most as usize)
+    }
+
     /// Waits until no caller is connected.
     pub async fn callers_left(&self) {
         let _all = self.callers.acquire_many(self.callers_most).await;
--- a/crates/herondock/src/transport/http.rs
+++ b/crates/herondock/src/transport/http.rs
@@ -1,6 +1,6 @@
 //! Attempts over HTTP/1.1: one request to one upstream, once; and the connections that are kept for the next.
 use crate::exchange::{Answer, Attempt, Ended, Running, Upstream};
-use crate::http::{end_to_end, fields, headers, method, DEADLINE};
+use crate::http::{fields, headers, method, DEADLINE};
 use crate::live::Live;
 use crate::sockets::Sockets;
 use crate::stream::Shared;
@@ -204,16 +204,13 @@
         // Back before the outcome is told: what the module sends next may go on this connection.
         if let Ok(Ok(())) = timeout(SETTLE, conn.sender.ready()).await {
             let open = !attempt.gate.closed(Instant::now());
-            if open && conn.generation == self.generation.get() && conn.clean() {
+            // Whether something unread is on it is asked when it is taken again.
+            if open && conn.generation == self.generation.get() {
                 self.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
             }
         }
         let answer = match ending {
-            Ending::Ok => {
-                let mut headers = head.headers;
-                end_to_end(&mut headers);
-                Some(Answer::Served { fields: fields(&headers), body: body.to_bytes() })
-            }
+            Ending::Ok => Some(Answer::Served { fields: fields(&head.headers, &[]), body: body.to_bytes() }),
             // Guards against callers whose bad input makes upstreams look bad: it says nothing about the upstream,
             // and sent to another it would be turned away again.
             Ending::Cancelled => Some(Answer::Unusable(head.status.as_u16())),
--- a/crates/oakflow/src/interface.rs
+++ b/crates/oakflow/src/interface.rs
@@ -271,6 +271,20 @@
     pub deadline: Millis,
 }
 
+/// What an instance has learned of its next tier and its tenants, for one that takes its place: calls per cycle, and
+/// the mean time of an unqueued answer. Nothing of single upstreams: their health is found out anew.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Learned {
+    /// The learned capacity.
+    pub capacity: f64,
+    /// The most that was lately admitted.
+    pub peak: f64,
+    /// The unloaded answer time.
+    pub unloaded: Millis,
+    /// Each tenant's demand, the place for unlisted ones last.
+    pub demands: Vec<f64>,
+}
+
 /// What happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
--- a/crates/oakflow/src/policy/admission.rs
+++ b/crates/oakflow/src/policy/admission.rs
@@ -115,6 +115,27 @@
         }
     }
 
+    pub(super) fn learned(&self) -> Learned {
+        let demands = self.tenants.iter().map(|t| t.demand).collect();
+        Learned { capacity: self.capacity, peak: self.peak, unloaded: self.unloaded, demands }
+    }
+
+    /// Begins with what another learned. Figures that none can have learned are not believed.
+    pub(super) fn recall(&mut self, learned: &Learned, now: Millis) {
+        let Learned { capacity, peak, unloaded, demands } = learned;
+        let sound = |v: &f64| (0.0..=1e9).contains(v);
+        let all = [capacity, peak, unloaded].into_iter().chain(demands);
+        if !all.into_iter().all(sound) || demands.len() != self.tenants.len() || *unloaded <= 0.0 {
+            return;
+        }
+        (self.peak, self.recent, self.unloaded) = (*peak, demands.iter().sum(), *unloaded);
+        self.capacity = capacity.min(peak * CAPACITY_ROOM + 1.0).max(self.floor());
+        for (tenant, &demand) in self.tenants.iter_mut().zip(demands) {
+            (tenant.demand, tenant.seen) = (demand, demand > 0.0);
+        }
+        self.end_cycle(now);
+    }
+
     /// Counts the request as demand and decides whether it passes.
     pub(super) fn admit(&mut self, tenant: usize, now: Millis) -> bool {
         let tenant = tenant.min(self.tenants.len() - 1);
--- a/crates/oakflow/src/policy/members.rs
+++ b/crates/oakflow/src/policy/members.rs
@@ -272,8 +272,6 @@
         if !cut && ending != Ending::Moot {
             self.heard(rest, lost);
         }
-        let out = self.by_id.values().filter(|&&k| now < self.slots[k].ejected_until).count();
-        let most = (self.ready.0 / EJECT_PART).max(1);
         let u = &mut self.slots[i];
         u.rested_from = if u.inflight >= u.connections { now } else { u.rested_from };
         // A connection whose call got no answer does not come back for another.
@@ -302,14 +300,24 @@
         if !failed && now >= u.ejected_until && u.fails < EJECT_AT / 2.0 {
             u.ejections = 0;
         }
-        if failed && own && (hung || u.outcomes >= 3) && now >= u.ejected_until && out < most {
-            // A server that fails fast holds few calls and would win every comparison: take it out.
-            let length = (EJECT_BASE * f64::from(u.ejections + 1)).min(EJECT_MOST);
-            u.ejected_until = now + length * (0.75 + 0.5 * unit(rng));
-            u.ejections += 1;
-            // One more failure after its return ejects it again.
-            u.fails = EJECT_AT;
+        if failed && own && (hung || u.outcomes >= 3) && now >= u.ejected_until {
+            self.eject(i, now, rng);
         }
         own
     }
+
+    /// A server that fails fast holds few calls and would win every comparison: takes it out.
+    fn eject(&mut self, i: usize, now: Millis, rng: &mut Pcg64Mcg) {
+        // Counted here and not for every outcome, which would cost more than all else with many upstreams.
+        let out = self.by_id.values().filter(|&&k| now < self.slots[k].ejected_until).count();
+        if out >= (self.ready.0 / EJECT_PART).max(1) {
+            return;
+        }
+        let u = &mut self.slots[i];
+        let length = (EJECT_BASE * f64::from(u.ejections + 1)).min(EJECT_MOST);
+        u.ejected_until = now + length * (0.75 + 0.5 * unit(rng));
+        u.ejections += 1;
+        // One more failure after its return ejects it again.
+        u.fails = EJECT_AT;
+    }
 }
--- a/crates/oakflow/src/policy/mod.rs
+++ b/crates/oakflow/src/policy/mod.rs
@@ -65,6 +65,17 @@
         })
     }
 
+    /// What it has learned so far.
+    pub fn learned(&self) -> Learned {
+        self.admission.learned()
+    }
+
+    /// Begins with what another instance learned, before anything else happens. What is unsound is left out.
+    pub fn recall(&mut self, learned: &Learned, now: Millis) {
+        self.admission.recall(learned, now);
+        self.fleet.resize_subset(&self.settings, self.admission.recent);
+    }
+
     /// Takes one event and appends what is to be done. `now` must not go back.
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
         let now = if now.is_finite() { now } else { 0.0 };
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 use std::fs::File;
 use std::io::{ErrorKind, Read};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 use toml::Spanned;
 
@@ -100,16 +100,19 @@
 macro_rules! table {
     ($(#[$about:meta])* $name:ident, $raw:ident, $path:literal, {
         $($(#[$doc:meta])* $field:ident: $kind:ty = $default:expr, $least:expr, $most:expr, live: $live:literal;)*
+    } paths {
+        $($(#[$fdoc:meta])* $file:ident;)*
     }) => {
         $(#[$about])*
         #[derive(Clone, Debug, PartialEq)]
         pub struct $name {
             $($(#[$doc])* pub $field: $kind,)*
+            $($(#[$fdoc])* pub $file: Option<PathBuf>,)*
         }
 
         impl Default for $name {
             fn default() -> Self {
-                $name { $($field: $default,)* }
+                $name { $($field: $default,)* $($file: None,)* }
             }
         }
 
@@ -117,6 +120,7 @@
         #[serde(deny_unknown_fields)]
         struct $raw {
             $($field: Option<Spanned<String>>,)*
+            $($file: Option<Spanned<String>>,)*
         }
 
         impl $raw {
@@ -126,15 +130,16 @@
                     $($field: quantity(
                         text, concat!($path, ".", stringify!($field)), self.$field, d.$field, $least, $most,
                     )?,)*
+                    $($file: path(text, concat!($path, ".", stringify!($file)), self.$file)?,)*
                 })
             }
         }
 
         impl $name {
-            /// Every key of the table with its default, as the file writes it.
-            pub fn defaults() -> Vec<(&'static str, String)> {
+            /// Every key of the table with its default, as the file writes it; none for one that is absent.
+            pub fn defaults() -> Vec<(&'static str, Option<String>)> {
                 let d = $name::default();
-                vec![$((stringify!($field), d.$field.show()),)*]
+                vec![$((stringify!($field), Some(d.$field.show())),)* $((stringify!($file), None),)*]
             }
 
             /// The keys that differ from `next` and can't change while the program runs.
@@ -143,6 +148,9 @@
                 $(if !$live && self.$field != next.$field {
                     names.push(concat!($path, ".", stringify!($field)));
                 })*
+                $(if self.$file != next.$file {
+                    names.push(concat!($path, ".", stringify!($file)));
+                })*
                 names
             }
         }
@@ -178,6 +186,27 @@
         full_pause: Duration = ms(500), ms(1), ms(60_000), live: true;
         /// How much sooner than the upstream would close it an idle connection is dropped.
         upstream_idle_margin: Duration = ms(250), ms(0), ms(60_000), live: true;
+    } paths {}
+}
+
+table! {
+    /// The process: its pid file, how it passes its sockets on, and how long its end takes.
+    Daemon, RawDaemon, "daemon", {
+        /// How long new connections are accepted after SIGTERM.
+        accepting: Duration = ms(500), ms(0), ms(600_000), live: false;
+        /// How long kept connections are served after it.
+        serving: Duration = ms(2400), ms(0), ms(600_000), live: false;
+        /// When what is open then gets its final answer.
+        last_answer: Duration = ms(3500), ms(0), ms(600_000), live: false;
+        /// When the process ends.
+        end: Duration = ms(3650), ms(0), ms(600_000), live: false;
+        /// When what is open gets its final answer after the sockets were passed on.
+        handed_over: Duration = ms(60_000), ms(0), ms(600_000), live: false;
+    } paths {
+        /// The pid file, locked while the process runs.
+        pid_file;
+        /// The Unix socket at which a new process asks for the listening sockets.
+        takeover;
     }
 }
 
@@ -186,6 +215,8 @@
 pub struct Operator {
     /// `[limits]`
     pub limits: Limits,
+    /// `[daemon]`
+    pub daemon: Daemon,
 }
 
 #[derive(Deserialize, Default)]
@@ -193,12 +224,14 @@
 struct Raw {
     #[serde(default)]
     limits: RawLimits,
+    #[serde(default)]
+    daemon: RawDaemon,
 }
 
 impl Operator {
     /// The keys in which `next` differs and that can't change while the program runs.
     pub fn fixed(&self, next: &Operator) -> Vec<&'static str> {
-        self.limits.fixed(&next.limits)
+        [self.limits.fixed(&next.limits), self.daemon.fixed(&next.daemon)].concat()
     }
 }
 
@@ -222,6 +255,20 @@
     Err(fault(format!("{} is not between {} and {}", given.get_ref(), least.show(), most.show())))
 }
 
+/// Longest path that a Unix socket can have (`sun_path` of Linux, less its end); the bound for all paths here.
+const PATH_MOST: usize = 107;
+
+fn path(text: &str, field: &str, given: Option<Spanned<String>>) -> Result<Option<PathBuf>, Fault> {
+    let Some(given) = given else { return Ok(None) };
+    let value = given.get_ref();
+    if value.is_empty() || value.len() > PATH_MOST || value.contains('\0') {
+        let (line, column) = place(text, given.span().start);
+        let what = format!("is no path of 1 to {PATH_MOST} bytes");
+        return Err(Fault { line, column, field: field.into(), what });
+    }
+    Ok(Some(PathBuf::from(value)))
+}
+
 /// Line and column of a byte of the text.
 fn place(text: &str, at: usize) -> (usize, usize) {
     let before = text.get(..at).unwrap_or(text);
@@ -250,7 +297,19 @@
         let path: Vec<String> = path.into_iter().filter(|p| !p.contains('$') && p != "?").collect();
         fault(e.inner(), path.join("."))
     })?;
-    Ok(Operator { limits: raw.limits.resolve(text)? })
+    let operator = Operator { limits: raw.limits.resolve(text)?, daemon: raw.daemon.resolve(text)? };
+    let d = &operator.daemon;
+    for (field, before, least, value) in [
+        ("daemon.serving", "accepting", d.accepting, d.serving),
+        ("daemon.last_answer", "serving", d.serving, d.last_answer),
+        ("daemon.end", "last_answer", d.last_answer, d.end),
+    ] {
+        if value < least {
+            let what = format!("{} comes before {before}, {}", value.show(), least.show());
+            return Err(Fault { line: 0, column: 0, field: field.into(), what });
+        }
+    }
+    Ok(operator)
 }
 
 /// Reads a file whole that may be replaced meanwhile: what is returned stood in it at one time.
@@ -335,6 +394,9 @@
             ("[limits]\nhead = \"2MiB\"\n", "2:8: ", "limits.head"),
             ("[limits]\nbody = \"1KiB\"\nbody = \"2KiB\"\n", "3:1: ", "duplicate"),
             ("[limits\n", "1:", ""),
+            ("[daemon]\npid_file = \"\"\n", "2:12: ", "daemon.pid_file"),
+            ("[daemon]\ntakeover = 3\n", "2:12: ", "daemon.takeover"),
+            ("[daemon]\nserving = \"400ms\"\n", "", "daemon.serving: 400ms comes before accepting, 500ms"),
             ("# \u{e9}\u{e9}\nlimits = 3\n", "2:10: ", "limits"),
         ] {
             let error = error(text);
@@ -358,8 +420,13 @@
         let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/herondock.example.toml");
         assert_eq!(read(&path).expect("the example is good"), Operator::default());
         let text = std::fs::read_to_string(path).expect("the example");
-        for (key, default) in Limits::defaults() {
-            assert!(text.contains(&format!("\n{key} = \"{default}\"\n")), "{key} = {default:?}");
+        for (key, default) in [Limits::defaults(), Daemon::defaults()].concat() {
+            let wanted = match default {
+                Some(default) => format!("\n{key} = \"{default}\"\n"),
+                // Absent unless it is set: shown behind a mark of a comment.
+                None => format!("\n#{key} = \""),
+            };
+            assert!(text.contains(&wanted), "{wanted:?}");
         }
     }
 
