--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -295,6 +295,7 @@
         self.overdue(now, actions);
         self.start_due(now, actions);
         self.roll_on(now, actions);
+        self.stopped(actions);
     }
 
     fn ready(&mut self, process: Process) {
@@ -343,7 +344,12 @@
                 self.crashed(now, k, said.into(), actions);
             }
         }
-        if self.stopping && self.instances.iter().all(|i| i.process.is_none()) {
+    }
+
+    /// Says so once nothing runs any more.
+    fn stopped(&mut self, actions: &mut Vec<Action>) {
+        let none = |i: &Instance| i.process.is_none() && i.successor.is_none() && i.leaving.is_empty();
+        if self.stopping && self.instances.iter().all(none) {
             self.stopping = false;
             actions.push(Action::Stopped);
         }
@@ -402,11 +408,9 @@
                         }
                         None => i.state = State::Stopped,
                     }
-                    actions.extend(i.successor.map(|p| Action::Signal(p, Signal::End)));
-                }
-                if self.instances.iter().all(|i| i.process.is_none()) {
-                    self.stopping = false;
-                    actions.push(Action::Stopped);
+                    // Those that passed their sockets on hurry with what they have left.
+                    let others = i.leaving.iter().copied().chain(i.successor);
+                    actions.extend(others.map(|p| Action::Signal(p, Signal::End)));
                 }
             }
         }
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -230,6 +230,15 @@
     assert_eq!(run.at(12_000, Event::Time), [Action::Signal(Process(2), Signal::Kill)]);
     assert_eq!(run.at(12_100, ended(Process(2))), [Action::Stopped]);
     assert!(run.at(99_000, Event::Time).is_empty(), "nothing is started again");
+    // One that has passed its sockets on hurries too, and is waited for.
+    let (mut run, _) = Run::roll(Roll::TakeOver);
+    run.at(2100, Event::Ready(Process(4)));
+    let actions = run.at(2200, Event::Command(Command::Stop));
+    assert!(actions.contains(&end(1)) && actions.contains(&end(5)), "{actions:?}");
+    for p in [2, 3, 4, 5] {
+        assert_eq!(run.at(2300, ended(Process(p))), []);
+    }
+    assert_eq!(run.at(2400, ended(Process(1))), [Action::Stopped]);
 }
 
 #[test]
--- a/crates/herondock/src/check.rs
+++ b/crates/herondock/src/check.rs
@@ -1,10 +1,11 @@
 //! `herondock check`: reads files as `run` would, and opens no socket.
 use crate::{config, log::log};
 use oakflow::Balancer;
-use oakflow_settings::operator;
+use oakflow_settings::{fleet, operator};
 use std::path::{Path, PathBuf};
 
-/// Checks each file: `.json` is a platform configuration, all else an operator's file. Every fault gets a line.
+/// Checks each file: `.json` is a platform configuration, all else an operator's file or, by its tables, a fleet's
+/// with all that it refers to. Every fault gets a line.
 ///
 /// # Errors
 /// How many files are at fault.
@@ -23,6 +24,14 @@
 }
 
 fn one(path: &Path) -> Result<(), String> {
+    if path.extension().is_none_or(|e| e != "json") && fleet::is_fleet(path) {
+        let fleet = fleet::read(path)?;
+        // All that it refers to as well.
+        for file in fleet.instances.iter().flat_map(|i| i.operator.iter().chain([&i.config])) {
+            one(file)?;
+        }
+        return Ok(());
+    }
     if path.extension().is_none_or(|e| e != "json") {
         return operator::read(path).map(|_| ());
     }
--- a/crates/herondock/src/cli.rs
+++ b/crates/herondock/src/cli.rs
@@ -1,8 +1,10 @@
 //! The command line: what each command is called and takes, and what it ends with (0, 1 for a failure, 2 for wrong
 //! usage).
 use crate::log::log;
-use crate::{check, demo, run};
-use clap::{Parser, Subcommand};
+use crate::{check, demo, fleet, run};
+use clap::{Args, Parser, Subcommand};
+use oakflow_settings::fleet as settings;
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -21,6 +23,12 @@
         /// The operator's file (TOML); see deploy/herondock.example.toml
         #[arg(long, value_name = "FILE")]
         operator: Option<PathBuf>,
+        /// The pid file, in place of daemon.pid_file
+        #[arg(long, value_name = "FILE")]
+        pid_file: Option<PathBuf>,
+        /// The Unix socket for passing the listener on, in place of daemon.takeover
+        #[arg(long, value_name = "PATH")]
+        takeover: Option<PathBuf>,
         /// End when standard input does: for programs that start instances and must not leave one behind
         #[arg(long, hide = true)]
         lifeline: bool,
@@ -34,6 +42,8 @@
         #[arg(long)]
         json: bool,
     },
+    /// Supervise many instances on one machine, or talk to their supervisor
+    Fleet(Fleet),
     /// Check operator's files (TOML) and platform configurations (.json); opens no socket
     Check {
         /// Files to check
@@ -42,17 +52,92 @@
     },
 }
 
+#[derive(Args)]
+#[command(args_conflicts_with_subcommands = true, arg_required_else_help = true)]
+struct Fleet {
+    /// Run a supervisor of this fleet; see deploy/fleet.example.toml
+    file: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<FleetCommand>,
+}
+
+#[derive(Subcommand)]
+enum FleetCommand {
+    /// Show the instances
+    Status {
+        /// The fleet's file
+        file: PathBuf,
+        /// As JSON
+        #[arg(long)]
+        json: bool,
+    },
+    /// End and start each instance in turn
+    Restart {
+        /// The fleet's file
+        file: PathBuf,
+    },
+    /// Let a new process of each instance in turn take over from the old one
+    TakeOver {
+        /// The fleet's file
+        file: PathBuf,
+    },
+    /// Have each instance in turn read its files again
+    Reload {
+        /// The fleet's file
+        file: PathBuf,
+    },
+    /// Start again what was given up
+    Start {
+        /// The fleet's file
+        file: PathBuf,
+    },
+    /// End all instances, and the supervisor
+    Stop {
+        /// The fleet's file
+        file: PathBuf,
+    },
+}
+
+impl Fleet {
+    fn run(self) -> Result<(), String> {
+        let roll = |file: PathBuf, command| {
+            let print = |line: &str| drop(writeln!(std::io::stdout(), "{line}"));
+            fleet::ask(&settings::read(&file)?, command, print)
+        };
+        match (self.file, self.command) {
+            (_, Some(FleetCommand::Status { file, json })) => {
+                let text = fleet::status(&settings::read(&file)?, json)?;
+                std::io::stdout().write_all(text.as_bytes()).map_err(|e| format!("standard output: {e}"))
+            }
+            (_, Some(FleetCommand::Restart { file })) => roll(file, "restart"),
+            (_, Some(FleetCommand::TakeOver { file })) => roll(file, "take-over"),
+            (_, Some(FleetCommand::Reload { file })) => roll(file, "reload"),
+            (_, Some(FleetCommand::Start { file })) => roll(file, "start"),
+            (_, Some(FleetCommand::Stop { file })) => roll(file, "stop"),
+            (Some(file), None) => fleet::run(&settings::read(&file)?),
+            // The command line asks for one of the two.
+            (None, None) => Ok(()),
+        }
+    }
+}
+
 /// Carries out what the command line asks for.
 pub fn main() -> ExitCode {
     // Wrong usage ends in here with 2, help and version with 0.
     let line = Line::parse();
-    let done = match line.command.unwrap_or(Command::Run { operator: None, lifeline: false }) {
-        Command::Run { operator, lifeline } => {
+    let done = match line.command.unwrap_or(Command::Run {
+        operator: None,
+        pid_file: None,
+        takeover: None,
+        lifeline: false,
+    }) {
+        Command::Run { operator, pid_file, takeover, lifeline } => {
             if lifeline {
                 run::end_with_input();
             }
-            run::run(operator.as_deref())
+            run::run(run::Options { operator, pid_file, takeover })
         }
+        Command::Fleet(fleet) => fleet.run(),
         Command::Demo { seconds, json } => demo::demo(&demo::Options { seconds, json }),
         Command::Check { files } => check::check(&files),
     };
--- a/crates/herondock/src/daemon/manager.rs
+++ b/crates/herondock/src/daemon/manager.rs
@@ -9,9 +9,10 @@
 const WAITING: usize = 16;
 
 /// What it is told.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 enum News {
-    Ready,
+    /// Ready to serve, and what it does in words.
+    Ready(String),
     Reloading,
     Stopping,
     Alive,
@@ -48,9 +49,9 @@
         }
     }
 
-    /// Ready to serve.
-    pub fn ready(&self) {
-        self.tell(News::Ready);
+    /// Ready to serve, also after a reload, and what it does in words.
+    pub fn ready(&self, status: String) {
+        self.tell(News::Ready(status));
     }
 
     /// Reading the files again.
@@ -72,7 +73,11 @@
 /// Waits as long as the manager's socket is full; an error means that nobody listens.
 fn pass_on(news: News) {
     let states = match news {
-        News::Ready => vec![NotifyState::Ready, NotifyState::Status("serving")],
+        News::Ready(status) => {
+            let status = status.replace('\n', " ");
+            drop(sd_notify::notify(&[NotifyState::Ready, NotifyState::Status(&status)]));
+            return;
+        }
         // The time stamp is what `Type=notify-reload` needs.
         News::Reloading => match NotifyState::monotonic_usec_now() {
             Ok(stamp) => vec![NotifyState::Reloading, stamp, NotifyState::Status("reloading")],
--- /dev/null
+++ b/crates/herondock/src/fleet/supervisor.rs
@@ -0,0 +1,343 @@
+//! The supervisor's loop: tells the state machine what happens, and carries out what it wants.
+use super::process::{Notify, Running};
+use super::Paths;
+use crate::config;
+use crate::daemon::pidfile::{self, PidFile};
+use crate::log::log;
+use fleet::{Action, Command, Event, Figures, Process, Roll};
+use oakflow_settings::fleet::Fleet as File;
+use std::collections::HashMap;
+use std::os::unix::fs::{DirBuilderExt, PermissionsExt};
+use std::path::Path;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
+use tokio::time::{timeout, Instant};
+
+/// Commands and ends of processes that may wait for the loop.
+const WAITING: usize = 64;
+/// Longest command.
+const LINE_MOST: u64 = 64;
+/// How long whoever connects may take to say what it wants.
+const COMMAND_WAIT: Duration = Duration::from_secs(5);
+/// Lines that may wait for a command's sender; one that does not read is not waited for.
+const ANSWERS: usize = 256;
+
+/// A command and where its answer goes.
+struct Asked {
+    line: String,
+    answer: mpsc::Sender<String>,
+}
+
+/// Runs a supervisor until it is told to end, which leaves the instances running, or all were stopped.
+///
+/// # Errors
+/// Another supervisor has the folder, or something that it needs can't be had.
+pub fn run(file: &File) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    tokio::task::LocalSet::new().block_on(&runtime, supervise(file))
+}
+
+struct Supervisor<'a> {
+    file: &'a File,
+    fleet: fleet::Fleet,
+    began: Instant,
+    processes: HashMap<Process, Running>,
+    /// What each process last said of itself.
+    says: HashMap<Process, String>,
+    ends: mpsc::Sender<Process>,
+    /// Who waits for the end of a roll, or of the stop.
+    waiting: Vec<mpsc::Sender<String>>,
+}
+
+async fn supervise(file: &File) -> Result<(), String> {
+    let caught = |kind| signal(kind).map_err(|e| e.to_string());
+    let (mut term, mut int) = (caught(SignalKind::terminate())?, caught(SignalKind::interrupt())?);
+    let mut hup = caught(SignalKind::hangup())?;
+    let paths = Paths(file);
+    let folder = |e: std::io::Error| format!("{}: {e}", file.folder.display());
+    if !file.folder.is_dir() {
+        std::fs::DirBuilder::new().recursive(true).mode(0o700).create(&file.folder).map_err(folder)?;
+    }
+    let _lock = PidFile::take(&paths.lock()).map_err(|e| e.replace("daemon.pid_file: ", ""))?;
+    let notify = Notify::bind(&paths.notify()).map_err(folder)?;
+    let control = bind(&paths.control()).map_err(folder)?;
+    let (ends, mut ended) = mpsc::channel(WAITING);
+    let (ask, mut asked) = mpsc::channel(WAITING);
+    tokio::task::spawn_local(listen(control, ask));
+    let figures = Figures {
+        spread: file.spread,
+        ready_within: file.ready_within,
+        stop_within: file.stop_within,
+        pause: file.pause,
+        pause_most: file.pause_most,
+        crashes: file.crashes,
+        window: file.window,
+        at_once: file.at_once,
+    };
+    let fleet = fleet::Fleet::new(file.instances.len(), figures);
+    let (processes, says) = (HashMap::new(), HashMap::new());
+    let began = Instant::now();
+    let mut s = Supervisor { file, fleet, began, processes, says, ends, waiting: Vec::new() };
+    s.find();
+    log!("fleet: supervisor of {} instances, {} found running", file.instances.len(), s.processes.len());
+    let mut event = Event::Time;
+    loop {
+        if s.take(event) {
+            return Ok(());
+        }
+        let wake = s.fleet.wake().map(|at| s.began + at);
+        event = tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            // One command for all: a reload of the instances goes through 'fleet reload'.
+            _ = hup.recv() => Event::Time,
+            Some(process) = ended.recv() => {
+                let how = s.processes.remove(&process).map(|mut p| p.ending());
+                let (clean, how) = how.unwrap_or((false, "it ended".into()));
+                s.says.remove(&process);
+                Event::Ended { process, clean, how }
+            }
+            news = notify.next() => match news {
+                Ok(news) => s.heard(news),
+                Err(e) => {
+                    log!("fleet: {}: {e}", paths.notify().display());
+                    Event::Time
+                }
+            },
+            Some(Asked { line, answer }) = asked.recv() => s.asked(&line, answer),
+            () = async { tokio::time::sleep_until(wake.unwrap_or(s.began)).await }, if wake.is_some() => Event::Time,
+        };
+    }
+    log!("fleet: the supervisor ends, {} processes run on", s.processes.len());
+    Ok(())
+}
+
+fn bind(path: &Path) -> std::io::Result<UnixListener> {
+    match std::fs::remove_file(path) {
+        Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(e),
+        _ => {}
+    }
+    let listener = UnixListener::bind(path)?;
+    std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))?;
+    Ok(listener)
+}
+
+/// Takes commands; each connection has one.
+async fn listen(listener: UnixListener, ask: mpsc::Sender<Asked>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        tokio::task::spawn_local(converse(stream, ask.clone()));
+    }
+}
+
+async fn converse(stream: UnixStream, ask: mpsc::Sender<Asked>) {
+    let (read, mut write) = stream.into_split();
+    let mut line = String::new();
+    let read = timeout(COMMAND_WAIT, BufReader::new(read).take(LINE_MOST).read_line(&mut line)).await;
+    if !matches!(read, Ok(Ok(n)) if n > 0) {
+        return;
+    }
+    let (answer, mut answers) = mpsc::channel(ANSWERS);
+    if ask.send(Asked { line: line.trim().into(), answer }).await.is_err() {
+        return;
+    }
+    // Until whoever answers has said all, or nobody reads any more.
+    while let Some(line) = answers.recv().await {
+        if write.write_all(format!("{line}\n").as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Supervisor<'_> {
+    /// Finds the instances that run already, by the pid files that they hold.
+    fn find(&mut self) {
+        for (k, instance) in self.file.instances.iter().enumerate() {
+            let Some(pid) = pidfile::holder(&Paths(self.file).pid(instance)) else { continue };
+            match Running::found(pid) {
+                Ok(running) => {
+                    // Where its address is known it can be asked; elsewhere what serves counts as ready.
+                    let listen =
+                        config::read(&instance.config).ok().map(|c| c.listen).filter(|l| l.port() != 0);
+                    let ready = listen.is_none_or(ready);
+                    let process = self.fleet.adopt(self.began.elapsed(), k, ready);
+                    self.watch(process, running);
+                }
+                Err(e) => log!("fleet: {}: process {pid}: {e}", instance.name),
+            }
+        }
+    }
+
+    fn watch(&mut self, process: Process, running: Running) {
+        let ends = self.ends.clone();
+        let tell = move || {
+            // The loop that takes it may have ended; then nobody needs to know.
+            let _ = ends.blocking_send(process);
+        };
+        if let Err(e) = running.watch(tell) {
+            log!("fleet: process {}: its end will not be noticed: {e}", running.pid);
+        }
+        self.processes.insert(process, running);
+    }
+
+    fn name(&self, instance: usize) -> &str {
+        self.file.instances.get(instance).map_or("?", |i| &i.name)
+    }
+
+    /// Tells the machine and does what it wants; `true`: all is stopped.
+    fn take(&mut self, event: Event) -> bool {
+        let mut actions = Vec::new();
+        self.fleet.handle(self.began.elapsed(), event, &mut actions);
+        let mut failed = Vec::new();
+        for action in actions {
+            match action {
+                Action::Start { instance, process } => {
+                    match Running::start(self.file, &self.file.instances[instance]) {
+                        Ok(running) => self.watch(process, running),
+                        Err(e) => failed.push((process, e.to_string())),
+                    }
+                }
+                Action::Signal(process, signal) => {
+                    if let Some(running) = self.processes.get(&process) {
+                        running.signal(signal);
+                    }
+                }
+                Action::Refused(why) => {
+                    if let Some(answer) = self.waiting.pop() {
+                        let _ = answer.try_send(format!("failed {why}"));
+                    }
+                }
+                Action::Rolled(roll) => {
+                    log!("fleet: {} done", word(roll));
+                    self.tell_all("ok");
+                }
+                Action::Halted { instance, why } => {
+                    let line = format!("halted at {}: {why}", self.name(instance));
+                    log!("fleet: {line}");
+                    self.tell_all(&format!("failed {line}"));
+                }
+                Action::GivenUp { instance, why } => {
+                    log!("fleet: {} is given up: {why}", self.name(instance))
+                }
+                Action::Stopped => {
+                    log!("fleet: all are stopped");
+                    self.tell_all("ok");
+                    return true;
+                }
+            }
+        }
+        for (process, how) in failed {
+            if self.take(Event::Ended { process, clean: false, how }) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// The last word to all who wait.
+    fn tell_all(&mut self, line: &str) {
+        for answer in self.waiting.drain(..) {
+            let _ = answer.try_send(line.into());
+        }
+    }
+
+    fn heard(&mut self, news: super::process::News) -> Event {
+        let Some(process) = self.processes.iter().find(|(_, r)| r.pid == news.pid).map(|(&p, _)| p) else {
+            return Event::Time;
+        };
+        let refused = news.status.as_deref().and_then(|s| s.strip_prefix("not reloaded: ")).map(String::from);
+        if let Some(status) = news.status {
+            self.says.insert(process, status);
+        }
+        match (news.ready, refused) {
+            (true, Some(why)) => Event::NotReloaded(process, why),
+            (true, None) => {
+                let of = |i: &fleet::Instance| i.process == Some(process) || i.successor == Some(process);
+                let instance = self.fleet.instances().iter().position(of);
+                for answer in &self.waiting {
+                    let _ = answer.try_send(format!("{} is ready", instance.map_or("?", |k| self.name(k))));
+                }
+                Event::Ready(process)
+            }
+            _ => Event::Time,
+        }
+    }
+
+    fn asked(&mut self, line: &str, answer: mpsc::Sender<String>) -> Event {
+        let command = match line {
+            "status" => {
+                let _ = answer.try_send(self.state().to_string());
+                let _ = answer.try_send("ok".into());
+                return Event::Time;
+            }
+            "restart" => Command::Roll(Roll::Restart),
+            "take-over" => Command::Roll(Roll::TakeOver),
+            "reload" => Command::Roll(Roll::Reload),
+            "start" => {
+                let _ = answer.try_send("ok".into());
+                return Event::Command(Command::Start);
+            }
+            "stop" => Command::Stop,
+            _ => {
+                let _ = answer.try_send("failed that is no command".into());
+                return Event::Time;
+            }
+        };
+        log!("fleet: {line}");
+        if command == Command::Stop {
+            self.tell_all("failed the fleet is being stopped");
+        }
+        self.waiting.push(answer);
+        Event::Command(command)
+    }
+
+    fn state(&self) -> serde_json::Value {
+        let one = |(file, i): (&oakflow_settings::fleet::Instance, &fleet::Instance)| {
+            let running = i.process.and_then(|p| self.processes.get(&p));
+            let (memory, descriptors) = running.map_or((None, None), |r| {
+                let (memory, descriptors) = r.holds();
+                (Some(memory), Some(descriptors))
+            });
+            let says = match &i.state {
+                fleet::State::GivenUp(why) => Some(why),
+                _ => i.process.and_then(|p| self.says.get(&p)),
+            };
+            serde_json::json!({"name": file.name, "state": i.state.to_string(), "pid": running.map(|r| r.pid),
+                "restarts": i.restarts, "leaving": i.leaving.len(), "memory": memory, "descriptors": descriptors,
+                "says": says})
+        };
+        let instances: Vec<_> = self.file.instances.iter().zip(self.fleet.instances()).map(one).collect();
+        let roll = self.fleet.rolling().map(|(roll, left)| format!("{}, {left} to go", word(roll)));
+        serde_json::json!({"supervisor": std::process::id(), "roll": roll, "instances": instances})
+    }
+}
+
+fn word(roll: Roll) -> &'static str {
+    match roll {
+        Roll::Restart => "restart",
+        Roll::TakeOver => "take-over",
+        Roll::Reload => "reload",
+    }
+}
+
+/// Whether an instance says that it is ready; asked once, at the start of a supervisor.
+fn ready(addr: std::net::SocketAddr) -> bool {
+    use std::io::{Read, Write};
+    let wait = Duration::from_millis(500);
+    let ask = || {
+        let mut stream = std::net::TcpStream::connect_timeout(&addr, wait)?;
+        stream.set_read_timeout(Some(wait))?;
+        stream.write_all(b"GET /-/ready HTTP/1.1\r\nHost: fleet\r\nConnection: close\r\n\r\n")?;
+        let mut start = [0; 12];
+        stream.read_exact(&mut start)?;
+        Ok::<_, std::io::Error>(&start == b"HTTP/1.1 200")
+    };
+    ask().unwrap_or(false)
+}
--- a/crates/herondock/src/main.rs
+++ b/crates/herondock/src/main.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod driver;
 mod exchange;
+mod fleet;
 mod front;
 mod http;
 mod live;
--- a/crates/herondock/src/run.rs
+++ b/crates/herondock/src/run.rs
@@ -32,16 +32,26 @@
 /// How long the pid file of a predecessor that has passed its sockets on is waited for.
 const PID_FILE: Duration = Duration::from_secs(2);
 
+/// What the command line says.
+#[derive(Default)]
+pub struct Options {
+    /// The operator's file.
+    pub operator: Option<PathBuf>,
+    /// In place of `daemon.pid_file`.
+    pub pid_file: Option<PathBuf>,
+    /// In place of `daemon.takeover`.
+    pub takeover: Option<PathBuf>,
+}
+
 /// Runs an instance until it is told to end.
 ///
 /// # Errors
 /// One line that names the file and field at fault, or the address that can't be listened on.
-pub fn run(operator: Option<&Path>) -> Result<(), String> {
+pub fn run(options: Options) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| e.to_string())?;
-    let operator = operator.map(Path::to_path_buf);
     // A task of its own: what is blocked on is polled whenever any task has been.
-    let served = async { tokio::task::spawn_local(serve(operator)).await.map_err(|e| e.to_string())? };
+    let served = async { tokio::task::spawn_local(serve(options)).await.map_err(|e| e.to_string())? };
     tokio::task::LocalSet::new().block_on(&runtime, served)
 }
 
@@ -132,15 +142,18 @@
     Ok(Origin { listener, pid_file, taken: None, along: None })
 }
 
-async fn serve(path: Option<PathBuf>) -> Result<(), String> {
+async fn serve(options: Options) -> Result<(), String> {
     // Before anything else: a signal that is not caught ends the program.
     let caught = |kind| signal(kind).map_err(|e| e.to_string());
     let mut hup = caught(SignalKind::hangup())?;
     let (mut term, mut int) = (caught(SignalKind::terminate())?, caught(SignalKind::interrupt())?);
     let (start, start_ms) = (Instant::now(), driver::unix_ms());
     let config = config::load()?;
+    let path = options.operator;
     let operator = read_operator(path.as_deref())?;
-    let daemon = operator.daemon.clone();
+    let mut daemon = operator.daemon.clone();
+    daemon.pid_file = options.pid_file.or(daemon.pid_file);
+    daemon.takeover = options.takeover.or(daemon.takeover);
     let manager = Manager::new();
     let Origin { listener, mut pid_file, taken, along } = origin(&config, &daemon).await?;
     let Config { name, discovery, seed, sockets, known, deployment, fingerprint, .. } = config;
@@ -190,7 +203,13 @@
     if let Some(taken) = taken {
         let tell = tell.clone();
         tokio::task::spawn_local(async move {
-            taken.released(async { drop(claimed.await) }).await;
+            let ready = async {
+                // Guards against a process that ends before it is ready: that it will not claim any more is no claim.
+                if claimed.await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            };
+            taken.released(ready).await;
             let _ = tell.send(Event::Released).await;
         });
     }
@@ -213,6 +232,8 @@
     let claimant: Rc<RefCell<Option<Claimant>>> = Rc::default();
     let mut served: Option<JoinHandle<()>> = None;
     let mut alive = manager.watchdog().map(tokio::time::interval);
+    // Why the files were not taken when they were read last.
+    let mut refused: Option<String> = None;
     let mut actions = Vec::new();
     let mut event = Event::Listening;
     loop {
@@ -245,7 +266,10 @@
                     log!("{name}: serving on {address}");
                 }
                 Action::Claim => drop(claim.take().map(|claim| claim.send(()))),
-                Action::TellReady => manager.ready(),
+                Action::TellReady => manager.ready(match &refused {
+                    None => format!("serving on {address}"),
+                    Some(why) => format!("not reloaded: {why}"),
+                }),
                 Action::TellReloading => manager.reloading(),
                 Action::TellStopping => {
                     manager.stopping();
@@ -256,9 +280,10 @@
                     }
                 }
                 Action::ReadFiles => {
-                    match changes.read_again() {
-                        Ok(()) => log!("reloaded"),
-                        Err(message) => log!("not reloaded: {message}"),
+                    refused = changes.read_again().err();
+                    match &refused {
+                        None => log!("reloaded"),
+                        Some(why) => log!("not reloaded: {why}"),
                     }
                     // There is room: at most one reload goes on.
                     let _ = tell.try_send(Event::Reloaded);
--- /dev/null
+++ b/crates/settings/src/fleet.rs
@@ -0,0 +1,235 @@
+//! The fleet's file: TOML, for a supervisor of many instances on one machine. `deploy/fleet.example.toml` documents it.
+use crate::operator::{fault_at, path_value, quantity, read_text, Fault};
+use serde::Deserialize;
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use toml::Spanned;
+
+/// Most instances of one supervisor.
+pub const INSTANCES_MOST: usize = 1000;
+/// Longest name of an instance.
+const NAME_MOST: usize = 32;
+/// Longest path of the folder: a Unix socket with the longest name in it still has a path that the system takes.
+const FOLDER_MOST: usize = 107 - NAME_MOST - 6;
+
+/// All that the fleet's file says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    /// Where pid files and Unix sockets go.
+    pub folder: PathBuf,
+    /// The pause between two starts at the beginning.
+    pub spread: Duration,
+    /// How long a process may take until it is ready.
+    pub ready_within: Duration,
+    /// How long a process that was told to end may take.
+    pub stop_within: Duration,
+    /// The first pause before a restart of what crashed, and the longest.
+    pub pause: Duration,
+    /// The longest pause.
+    pub pause_most: Duration,
+    /// So many crashes within the window, and an instance is given up.
+    pub crashes: usize,
+    /// The window.
+    pub window: Duration,
+    /// Instances that a roll takes at once.
+    pub at_once: usize,
+    /// The instances, at least one.
+    pub instances: Vec<Instance>,
+}
+
+/// One instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Instance {
+    /// Its name; no other has it.
+    pub name: String,
+    /// Its platform configuration.
+    pub config: PathBuf,
+    /// Its operator's file.
+    pub operator: Option<PathBuf>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Raw {
+    fleet: RawFleet,
+    #[serde(default)]
+    instance: Vec<RawInstance>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawFleet {
+    folder: Spanned<String>,
+    operator: Option<Spanned<String>>,
+    spread: Option<Spanned<String>>,
+    ready_within: Option<Spanned<String>>,
+    stop_within: Option<Spanned<String>>,
+    pause: Option<Spanned<String>>,
+    pause_most: Option<Spanned<String>>,
+    window: Option<Spanned<String>>,
+    crashes: Option<Spanned<i64>>,
+    at_once: Option<Spanned<i64>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawInstance {
+    name: Spanned<String>,
+    config: Spanned<String>,
+    operator: Option<Spanned<String>>,
+}
+
+fn count(
+    text: &str,
+    field: &str,
+    given: Option<Spanned<i64>>,
+    default: usize,
+    most: usize,
+) -> Result<usize, Fault> {
+    let Some(given) = given else { return Ok(default) };
+    let value = usize::try_from(*given.get_ref()).ok().filter(|n| (1..=most).contains(n));
+    value.ok_or_else(|| fault_at(text, given.span().start, field, format!("is not between 1 and {most}")))
+}
+
+/// Reads the text of a file.
+///
+/// # Errors
+/// The first fault, with its place.
+pub fn parse(bytes: &[u8]) -> Result<Fleet, Fault> {
+    let (text, raw) = read_text::<Raw>(bytes)?;
+    let Raw { fleet: f, instance } = raw;
+    let span = |field: &str, given, default: u64, most: u64| {
+        let ms = Duration::from_millis;
+        quantity(text, &format!("fleet.{field}"), given, ms(default), ms(0), ms(most))
+    };
+    let hour = 3_600_000;
+    let at = f.folder.span().start;
+    let folder = path_value(text, "fleet.folder", Some(f.folder))?.unwrap_or_default();
+    if folder.as_os_str().len() > FOLDER_MOST {
+        let what = format!("has more than {FOLDER_MOST} bytes, too many for Unix sockets in it");
+        return Err(fault_at(text, at, "fleet.folder", what));
+    }
+    let operator = path_value(text, "fleet.operator", f.operator)?;
+    let mut instances = Vec::new();
+    let mut names = BTreeSet::new();
+    for (k, i) in instance.into_iter().enumerate() {
+        let field = |name: &str| format!("instance[{k}].{name}");
+        let name = i.name.get_ref().clone();
+        let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_');
+        let what = if name.is_empty() || name.len() > NAME_MOST || !name.chars().all(plain) {
+            Some(format!("{name:?} is no name of 1 to {NAME_MOST} letters, digits, - and _"))
+        } else if !names.insert(name.clone()) {
+            Some(format!("another instance is called {name:?}"))
+        } else if k >= INSTANCES_MOST {
+            Some(format!("there are more than {INSTANCES_MOST} instances"))
+        } else {
+            None
+        };
+        if let Some(what) = what {
+            return Err(fault_at(text, i.name.span().start, &field("name"), what));
+        }
+        let config = path_value(text, &field("config"), Some(i.config))?.unwrap_or_default();
+        let own = path_value(text, &field("operator"), i.operator)?;
+        instances.push(Instance { name, config, operator: own.or_else(|| operator.clone()) });
+    }
+    if instances.is_empty() {
+        return Err(Fault { line: 0, column: 0, field: "instance".into(), what: "there is none".into() });
+    }
+    Ok(Fleet {
+        folder,
+        spread: span("spread", f.spread, 100, hour)?,
+        ready_within: span("ready_within", f.ready_within, 30_000, hour)?,
+        stop_within: span("stop_within", f.stop_within, 10_000, hour)?,
+        pause: span("pause", f.pause, 500, hour)?,
+        pause_most: span("pause_most", f.pause_most, 30_000, hour)?,
+        window: span("window", f.window, 60_000, hour)?,
+        crashes: count(text, "fleet.crashes", f.crashes, 5, 1000)?,
+        at_once: count(text, "fleet.at_once", f.at_once, 1, INSTANCES_MOST)?,
+        instances,
+    })
+}
+
+/// Reads a fleet's file. Paths in it are relative to its folder.
+///
+/// # Errors
+/// One line: the file's path, then line and column where there are any, the field, and what is wrong.
+pub fn read(path: &Path) -> Result<Fleet, String> {
+    let mut fleet = crate::operator::read_with(path, parse)?;
+    let base = path.parent().unwrap_or(Path::new(""));
+    fleet.folder = base.join(&fleet.folder);
+    for i in &mut fleet.instances {
+        i.config = base.join(&i.config);
+        i.operator = i.operator.as_ref().map(|o| base.join(o));
+    }
+    Ok(fleet)
+}
+
+/// Whether a TOML file is a fleet's, by its tables.
+pub fn is_fleet(path: &Path) -> bool {
+    let bytes = crate::operator::read_whole(path, crate::operator::FILE_MOST).unwrap_or_default();
+    let text = String::from_utf8_lossy(&bytes);
+    text.lines().any(|line| matches!(line.trim(), "[fleet]" | "[[instance]]"))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = "[fleet]\nfolder = \"/run/herondock\"\nat_once = 2\noperator = \"own.toml\"\n\
+        [[instance]]\nname = \"n1\"\nconfig = \"n1.json\"\n[[instance]]\nname = \"n2\"\nconfig = \"n2.json\"\n\
+        operator = \"other.toml\"\n";
+
+    #[test]
+    fn a_whole_file_is_read() {
+        let fleet = parse(GOOD.as_bytes()).expect("good");
+        assert_eq!((fleet.at_once, fleet.crashes, fleet.instances.len()), (2, 5, 2));
+        let operators: Vec<_> = fleet.instances.iter().map(|i| i.operator.clone()).collect();
+        assert_eq!(operators, [Some("own.toml".into()), Some("other.toml".into())]);
+    }
+
+    #[test]
+    fn what_is_wrong_is_named_with_its_place() {
+        for (from, to, wanted) in [
+            ("at_once = 2", "at_once = 0", "3:11: fleet.at_once: "),
+            ("at_once = 2", "at_once = -1", "3:11: fleet.at_once: "),
+            ("at_once = 2", "spread = \"1 s\"", "3:10: fleet.spread: "),
+            ("at_once = 2", "odd = 2", "3:1: "),
+            ("name = \"n2\"", "name = \"n1\"", "9:8: instance[1].name: another"),
+            ("name = \"n2\"", "name = \"../n1\"", "9:8: instance[1].name: "),
+            ("config = \"n2.json\"", "", "config"),
+            ("folder = \"/run/herondock\"\n", "", "folder"),
+        ] {
+            let error = parse(GOOD.replace(from, to).as_bytes()).expect_err(to).to_string();
+            assert!(error.contains(wanted), "{to:?}: {error}");
+        }
+        let long = GOOD.replace("/run/herondock", &"x".repeat(80));
+        assert!(parse(long.as_bytes()).expect_err("long").to_string().starts_with("2:10: fleet.folder: "));
+        assert!(parse(b"[fleet]\nfolder = \"x\"\n").expect_err("none").to_string().starts_with("instance: "));
+    }
+
+    #[test]
+    fn the_example_is_good_and_shows_every_key() {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/fleet.example.toml");
+        let text = std::fs::read_to_string(&path).expect("the example");
+        let all = parse(text.as_bytes()).expect("good");
+        let least =
+            parse(b"[fleet]\nfolder = \"x\"\n[[instance]]\nname = \"n1\"\nconfig = \"y\"\n").expect("good");
+        let defaults = |f: &Fleet| Fleet { folder: PathBuf::new(), instances: Vec::new(), ..f.clone() };
+        assert_eq!(defaults(&all), defaults(&least), "it states the defaults");
+        for key in [
+            "operator",
+            "spread",
+            "ready_within",
+            "stop_within",
+            "pause",
+            "pause_most",
+            "window",
+            "crashes",
+            "at_once",
+        ] {
+            assert!(text.contains(&format!("{key} = ")), "{key}");
+        }
+        assert!(is_fleet(&path) && !is_fleet(&path.with_file_name("herondock.example.toml")));
+    }
+}
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -43,7 +43,7 @@
 impl std::error::Error for Fault {}
 
 /// A value that the file writes as a number and a unit.
-trait Quantity: Copy + PartialOrd {
+pub(crate) trait Quantity: Copy + PartialOrd {
     fn read(text: &str) -> Result<Self, String>;
     fn show(self) -> String;
 }
@@ -130,7 +130,7 @@
                     $($field: quantity(
                         text, concat!($path, ".", stringify!($field)), self.$field, d.$field, $least, $most,
                     )?,)*
-                    $($file: path(text, concat!($path, ".", stringify!($file)), self.$file)?,)*
+                    $($file: path_value(text, concat!($path, ".", stringify!($file)), self.$file)?,)*
                 })
             }
         }
@@ -235,7 +235,7 @@
     }
 }
 
-fn quantity<T: Quantity>(
+pub(crate) fn quantity<T: Quantity>(
     text: &str,
     field: &str,
     given: Option<Spanned<String>>,
@@ -244,10 +244,7 @@
     most: T,
 ) -> Result<T, Fault> {
     let Some(given) = given else { return Ok(default) };
-    let fault = |what| {
-        let (line, column) = place(text, given.span().start);
-        Fault { line, column, field: field.into(), what }
-    };
+    let fault = |what| fault_at(text, given.span().start, field, what);
     let value = T::read(given.get_ref()).map_err(fault)?;
     if (least..=most).contains(&value) {
         return Ok(value);
@@ -258,13 +255,22 @@
 /// Longest path that a Unix socket can have (`sun_path` of Linux, less its end); the bound for all paths here.
 const PATH_MOST: usize = 107;
 
-fn path(text: &str, field: &str, given: Option<Spanned<String>>) -> Result<Option<PathBuf>, Fault> {
+/// A fault at a byte of the text.
+pub(crate) fn fault_at(text: &str, at: usize, field: &str, what: String) -> Fault {
+    let (line, column) = place(text, at);
+    Fault { line, column, field: field.into(), what }
+}
+
+pub(crate) fn path_value(
+    text: &str,
+    field: &str,
+    given: Option<Spanned<String>>,
+) -> Result<Option<PathBuf>, Fault> {
     let Some(given) = given else { return Ok(None) };
     let value = given.get_ref();
     if value.is_empty() || value.len() > PATH_MOST || value.contains('\0') {
-        let (line, column) = place(text, given.span().start);
         let what = format!("is no path of 1 to {PATH_MOST} bytes");
-        return Err(Fault { line, column, field: field.into(), what });
+        return Err(fault_at(text, given.span().start, field, what));
     }
     Ok(Some(PathBuf::from(value)))
 }
@@ -276,27 +282,32 @@
     (before.matches('\n').count() + 1, before[line_start..].chars().count() + 1)
 }
 
-/// Reads the text of a file.
-///
-/// # Errors
-/// The first fault, with its place.
-pub fn parse(bytes: &[u8]) -> Result<Operator, Fault> {
+/// A file as text, and as what serde makes of it.
+pub(crate) fn read_text<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<(&'a str, T), Fault> {
     let text = std::str::from_utf8(bytes).map_err(|e| {
         let good = std::str::from_utf8(&bytes[..e.valid_up_to()]).unwrap_or_default();
-        let (line, column) = place(good, good.len());
-        Fault { line, column, field: String::new(), what: "is not UTF-8".into() }
+        fault_at(good, good.len(), "", "is not UTF-8".into())
     })?;
     let fault = |error: &toml::de::Error, path: String| {
         let (line, column) = error.span().map_or((0, 0), |span| place(text, span.start));
         Fault { line, column, field: path, what: error.message().trim().replace('\n', " ") }
     };
     let reader = toml::Deserializer::parse(text).map_err(|e| fault(&e, String::new()))?;
-    let raw: Raw = serde_path_to_error::deserialize(reader).map_err(|e| {
+    let raw = serde_path_to_error::deserialize(reader).map_err(|e| {
         // A value that keeps its place has a path of its own inside; an unknown key ends in itself.
         let path: Vec<String> = e.path().iter().map(ToString::to_string).collect();
         let path: Vec<String> = path.into_iter().filter(|p| !p.contains('$') && p != "?").collect();
         fault(e.inner(), path.join("."))
     })?;
+    Ok((text, raw))
+}
+
+/// Reads the text of a file.
+///
+/// # Errors
+/// The first fault, with its place.
+pub fn parse(bytes: &[u8]) -> Result<Operator, Fault> {
+    let (text, raw) = read_text::<Raw>(bytes)?;
     let operator = Operator { limits: raw.limits.resolve(text)?, daemon: raw.daemon.resolve(text)? };
     let d = &operator.daemon;
     for (field, before, least, value) in [
@@ -353,6 +364,10 @@
 /// # Errors
 /// One line: the file's path, then line and column where there are any, the field, and what is wrong.
 pub fn read(path: &Path) -> Result<Operator, String> {
+    read_with(path, parse)
+}
+
+pub(crate) fn read_with<T>(path: &Path, parse: fn(&[u8]) -> Result<T, Fault>) -> Result<T, String> {
     let named = |what: String| format!("{}: {what}", path.display());
     let bytes = read_whole(path, FILE_MOST).map_err(named)?;
     parse(&bytes).map_err(|fault| match fault.line {
--- a/crates/testkit/src/caller.rs
+++ b/crates/testkit/src/caller.rs
@@ -108,6 +108,7 @@
     balancers: Vec<(String, SocketAddr)>,
     kept: HashMap<SocketAddr, BufReader<TcpStream>>,
     random: u64,
+    asks: bool,
 }
 
 /// Ids are told apart over all callers of a process, and by its number between processes.
@@ -128,7 +129,7 @@
 impl Caller {
     /// A caller that knows no balancer yet. `seed` feeds its random choices.
     pub fn new(ledger: Arc<Ledger>, seed: u64) -> Caller {
-        Caller { ledger, balancers: Vec::new(), kept: HashMap::new(), random: seed | 1 }
+        Caller { ledger, balancers: Vec::new(), kept: HashMap::new(), random: seed | 1, asks: false }
     }
 
     /// Adds a balancer, or changes where it is.
@@ -142,6 +143,13 @@
         self.balancers.retain(|(n, _)| n != name);
     }
 
+    /// Asks on each new connection first whether the balancer is ready, as a front does that keeps away from what is
+    /// leaving; and goes to another if it is not.
+    pub fn asks_first(mut self) -> Caller {
+        self.asks = true;
+        self
+    }
+
     /// Takes these for all balancers that there are, and drops the connections to others.
     pub fn know(&mut self, balancers: &[(String, SocketAddr)]) {
         if self.balancers != balancers {
@@ -204,7 +212,10 @@
             if let Some(stream) = self.kept.remove(&addr) {
                 return Some((name, addr, stream, true));
             }
-            if let Some(stream) = connect(addr, patience) {
+            let fresh = connect(addr, patience);
+            if let Some(stream) =
+                fresh.and_then(|stream| if self.asks { ready(stream, patience) } else { Some(stream) })
+            {
                 return Some((name, addr, stream, false));
             }
         }
@@ -257,6 +268,13 @@
     Some(BufReader::new(stream))
 }
 
+/// The connection, if whoever is at its other end says that it is ready.
+fn ready(mut stream: BufReader<TcpStream>, patience: Duration) -> Option<BufReader<TcpStream>> {
+    stream.get_mut().set_read_timeout(Some(patience)).ok()?;
+    stream.get_mut().write_all(b"GET /-/ready HTTP/1.1\r\nHost: front\r\n\r\n").ok()?;
+    (read(&mut stream)?.status() == 200).then_some(stream)
+}
+
 fn text(operation: &Operation, key: &str, request: &str, patience: Duration) -> String {
     let (start, length, body) = match operation.effect {
         Effect::Safe => ("GET /api/x", String::new(), ""),
