--- a/crates/herondock/src/fleet/supervisor.rs
+++ b/crates/herondock/src/fleet/supervisor.rs
@@ -22,6 +22,8 @@
 const LINE_MOST: u64 = 64;
 /// How long whoever connects may take to say what it wants.
 const COMMAND_WAIT: Duration = Duration::from_secs(5);
+/// How long those who were answered last have to read it.
+const LAST_WORD: Duration = Duration::from_secs(1);
 /// Lines that may wait for a command's sender; one that does not read is not waited for.
 const ANSWERS: usize = 256;
 
@@ -67,7 +69,8 @@
     let control = bind(&paths.control()).map_err(folder)?;
     let (ends, mut ended) = mpsc::channel(WAITING);
     let (ask, mut asked) = mpsc::channel(WAITING);
-    tokio::task::spawn_local(listen(control, ask));
+    let (talk, mut talks) = mpsc::channel::<()>(1);
+    let listening = tokio::task::spawn_local(listen(control, ask, talk));
     let figures = Figures {
         spread: file.spread,
         ready_within: file.ready_within,
@@ -87,6 +90,10 @@
     let mut event = Event::Time;
     loop {
         if s.take(event) {
+            // Whoever asked for it reads the answer first; each conversation holds a sender until it is over.
+            listening.abort();
+            drop(asked);
+            let _ = timeout(LAST_WORD, talks.recv()).await;
             return Ok(());
         }
         let wake = s.fleet.wake().map(|at| s.began + at);
@@ -127,13 +134,17 @@
 }
 
 /// Takes commands; each connection has one.
-async fn listen(listener: UnixListener, ask: mpsc::Sender<Asked>) {
+async fn listen(listener: UnixListener, ask: mpsc::Sender<Asked>, talk: mpsc::Sender<()>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        tokio::task::spawn_local(converse(stream, ask.clone()));
+        let (ask, talk) = (ask.clone(), talk.clone());
+        tokio::task::spawn_local(async move {
+            converse(stream, ask).await;
+            drop(talk);
+        });
     }
 }
 
--- a/crates/herondock/tests/fleet.rs
+++ b/crates/herondock/tests/fleet.rs
@@ -89,7 +89,7 @@
             let (_, rest) = line.split_once(&format!("\"{key}\":"))?;
             Some(rest.split([',', '}']).next()?.trim_matches('"').to_string())
         };
-        let instances = text.split("{\"").filter(|part| part.contains("\"name\":"));
+        let instances = text.split("{\"").filter(|part| part.contains("\"state\":"));
         instances
             .map(|i| (field(i, "state").expect("a state"), field(i, "pid").and_then(|p| p.parse().ok())))
             .collect()
