The take-over test waits until every old process has ended

Change: tests/fleet.rs checks that each instance has another process and that the old one is gone, under load.

--- a/crates/herondock/tests/fleet.rs
+++ b/crates/herondock/tests/fleet.rs
@@ -251,7 +251,18 @@
     );
     assert_eq!(ledger.check(&figures()), [], "{:?}", fleet.log());
     assert!(served > 500, "{served}");
-    let (output, served, other) = under_load(&ledger, &fleet.addrs, || fleet.command(&["take-over"]));
+    let (output, served, other) = under_load(&ledger, &fleet.addrs, || {
+        let output = fleet.command(&["take-over"]);
+        // The load goes on until the old processes have ended as well.
+        let taken = |status: &[(String, Option<u32>)]| {
+            let gone = |pid: &Option<u32>| {
+                pid.is_some_and(|pid| !std::path::Path::new(&format!("/proc/{pid}")).exists())
+            };
+            status.iter().zip(&after).all(|((_, new), old)| new != old && gone(old))
+        };
+        fleet.until("taken over", taken);
+        output
+    });
     succeeded(&output);
     assert_eq!(ledger.check(&figures()), [], "{:?}", fleet.log());
     assert!(served > 100 && other == 0, "a take-over is not noticed at all: {served} served, {other} not");
