--- a/crates/herondock/tests/daemon.rs
+++ b/crates/herondock/tests/daemon.rs
@@ -263,10 +263,10 @@
 
 /// Callers in threads until told to stop, each on as many connections as it likes.
 fn under_load<T>(ledger: &Arc<Ledger>, addr: std::net::SocketAddr, act: impl FnOnce() -> T) -> T {
-    let stop = AtomicBool::new(false);
-    thread::scope(|scope| {
+    let (stop, unconnected) = (AtomicBool::new(false), std::sync::atomic::AtomicU64::new(0));
+    let done = thread::scope(|scope| {
         for seed in 1..=8 {
-            let (ledger, stop) = (ledger, &stop);
+            let (ledger, stop, unconnected) = (ledger, &stop, &unconnected);
             scope.spawn(move || {
                 let classes = [("read", Effect::Safe), ("order", Effect::Keyed), ("pay", Effect::Unsafe)];
                 let mut all = classes.iter().cycle();
@@ -284,12 +284,16 @@
                             ..Operation::default()
                         });
                     }
+                    unconnected.fetch_add(caller.unconnected(), Ordering::SeqCst);
                 }
             });
         }
         let _stop = Stop(&stop);
         act()
-    })
+    });
+    // A caller tries again where it can't connect, so that nothing else would show it.
+    assert_eq!(unconnected.into_inner(), 0, "connections failed");
+    done
 }
 
 fn figures() -> Figures {
--- a/crates/testkit/src/caller.rs
+++ b/crates/testkit/src/caller.rs
@@ -109,6 +109,7 @@
     kept: HashMap<SocketAddr, BufReader<TcpStream>>,
     random: u64,
     asks: bool,
+    unconnected: u64,
 }
 
 /// Ids are told apart over all callers of a process, and by its number between processes.
@@ -129,7 +130,14 @@
 impl Caller {
     /// A caller that knows no balancer yet. `seed` feeds its random choices.
     pub fn new(ledger: Arc<Ledger>, seed: u64) -> Caller {
-        Caller { ledger, balancers: Vec::new(), kept: HashMap::new(), random: seed | 1, asks: false }
+        Caller {
+            ledger,
+            balancers: Vec::new(),
+            kept: HashMap::new(),
+            random: seed | 1,
+            asks: false,
+            unconnected: 0,
+        }
     }
 
     /// Adds a balancer, or changes where it is.
@@ -150,6 +158,11 @@
         self
     }
 
+    /// How often a connection could not be made, each time another balancer or another try may have hidden it.
+    pub fn unconnected(&self) -> u64 {
+        self.unconnected
+    }
+
     /// Takes these for all balancers that there are, and drops the connections to others.
     pub fn know(&mut self, balancers: &[(String, SocketAddr)]) {
         if self.balancers != balancers {
@@ -213,6 +226,7 @@
                 return Some((name, addr, stream, true));
             }
             let fresh = connect(addr, patience);
+            self.unconnected += u64::from(fresh.is_none());
             if let Some(stream) =
                 fresh.and_then(|stream| if self.asks { ready(stream, patience) } else { Some(stream) })
             {
