--- a/crates/fastcgi/src/client.rs
+++ b/crates/fastcgi/src/client.rs
@@ -4,11 +4,12 @@
 //! may still come. Whatever comes for an id that nothing stands for makes the connection useless, for it can't be told
 //! what else of it is wrong.
 use crate::cgi::{self, Head};
+use crate::outgoing::{Cancelled, Outgoing, Tail};
 use crate::pairs::{self, Pair};
 use crate::record::{self, kind, Decoder, Header, Piece, Protocol, RESPONDER};
 use crate::server::joined;
 use crate::{Error, Fault, Limits};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::collections::BTreeMap;
 
 /// How a request ended.
@@ -29,6 +30,8 @@
     Ended(u16, Outcome),
     /// The application tells of itself.
     Values(Vec<Pair>),
+    /// The application does not know a type of record that was written for the connection itself.
+    Unknown,
 }
 
 struct Out {
@@ -50,13 +53,14 @@
     open: BTreeMap<u16, Out>,
     current: Option<Header>,
     small: BytesMut,
+    outgoing: Outgoing,
 }
 
 impl Client {
     /// A connection that nothing has been written to.
     pub fn new(limits: Limits) -> Client {
         let (decoder, small) = (Decoder::default(), BytesMut::new());
-        Client { limits, decoder, open: BTreeMap::new(), current: None, small }
+        Client { limits, decoder, open: BTreeMap::new(), current: None, small, outgoing: Outgoing::default() }
     }
 
     /// Requests that have not ended, those that were called off included.
@@ -75,48 +79,96 @@
     }
 
     /// Asks the application whether it takes several requests at once (`FCGI_MPXS_CONNS`), and how many.
-    pub fn ask() -> Bytes {
+    pub fn ask(&mut self) {
         let (mut body, mut out) = (BytesMut::new(), BytesMut::new());
         for name in ["FCGI_MPXS_CONNS", "FCGI_MAX_REQS"] {
             pairs::write(&mut body, name.as_bytes(), b"");
         }
         record::write(&mut out, kind::GET_VALUES, 0, &body);
-        out.freeze()
+        self.outgoing.own(out.freeze());
     }
 
-    /// Begins a request: its id, and all that is to be written for it. `None`: as many are open as may be.
+    /// Begins a request, to be written by turns: its id. `None`: as many are open as may be.
     pub fn begin<'a>(
         &mut self,
         params: impl Iterator<Item = (&'a [u8], &'a [u8])>,
         body: Bytes,
         keep: bool,
-    ) -> Option<(u16, Vec<Bytes>)> {
+    ) -> Option<u16> {
         if !self.free() {
             return None;
         }
         let id = (1..=u16::MAX).find(|id| !self.open.contains_key(id))?;
-        let (mut head, mut pairs_) = (BytesMut::new(), BytesMut::new());
+        let mut head = BytesMut::with_capacity(1024);
         record::write(&mut head, kind::BEGIN, id, &record::begin_body(RESPONDER, keep));
-        params.for_each(|(name, value)| pairs::write(&mut pairs_, name, value));
-        record::write(&mut head, kind::PARAMS, id, &pairs_);
+        let mut all = BytesMut::with_capacity(1024);
+        params.for_each(|(name, value)| pairs::write(&mut all, name, value));
+        record::write(&mut head, kind::PARAMS, id, &all);
         record::end(&mut head, kind::PARAMS, id);
-        let mut parts = vec![head.freeze()];
-        parts.extend(record::stream(kind::STDIN, id, body));
-        let mut last = BytesMut::new();
-        record::end(&mut last, kind::STDIN, id);
-        parts.push(last.freeze());
+        self.outgoing.stream(id, head, kind::STDIN, body, Tail::Close);
         let out = Out { parts: Vec::new(), size: 0, errors: 0, closed: false, bad: None, aborted: false };
         self.open.insert(id, out);
-        Some((id, parts))
+        Some(id)
     }
 
-    /// Calls a request off; its id stays taken until the application has ended it. `None`: it is not open.
-    pub fn abort(&mut self, id: u16) -> Option<Bytes> {
-        let open = self.open.get_mut(&id).filter(|o| !o.aborted)?;
+    /// Calls a request off. One of which nothing was written is over; the id of another stays taken until the
+    /// application has ended it, and `true` says so.
+    pub fn abort(&mut self, id: u16) -> bool {
+        let Some(open) = self.open.get_mut(&id).filter(|o| !o.aborted) else { return false };
+        if self.outgoing.cancel(id) == Cancelled::Unbegun {
+            self.open.remove(&id);
+            return false;
+        }
         (open.aborted, open.parts) = (true, Vec::new());
         let mut out = BytesMut::new();
         record::end(&mut out, kind::ABORT, id);
-        Some(out.freeze())
+        self.outgoing.own(out.freeze());
+        true
+    }
+
+    /// Requests that were called off and have not ended.
+    pub fn aborted(&self) -> usize {
+        self.open.values().filter(|o| o.aborted).count()
+    }
+
+    /// Whether the last byte of an open request was taken to be written: until then its application can't have begun,
+    /// if it reads its input whole.
+    pub fn whole(&self, id: u16) -> bool {
+        !self.outgoing.holds(id)
+    }
+
+    /// Whether there is a request of which nothing was made ready yet.
+    pub fn unbegun(&self) -> bool {
+        self.outgoing.unbegun()
+    }
+
+    /// Makes more ready to be written, once all that was ready has been taken. A request begins only where `may_begin`
+    /// allows it, asked right before its first byte; one that may not is over, and is `unsent`.
+    pub fn fill(&mut self, may_begin: impl FnMut(u16) -> bool, unsent: &mut Vec<u16>) {
+        // What was written whole is known by what is not held any more.
+        self.outgoing.done();
+        let before = unsent.len();
+        self.outgoing.fill(may_begin, unsent);
+        for id in &unsent[before..] {
+            self.open.remove(id);
+        }
+    }
+
+    /// What is ready to be written.
+    pub fn outgoing(&mut self) -> &mut Outgoing {
+        &mut self.outgoing
+    }
+
+    /// All that is to be written, at once.
+    pub fn drain(&mut self) -> Bytes {
+        let mut out = BytesMut::new();
+        loop {
+            self.fill(|_| true, &mut Vec::new());
+            if !self.outgoing.has_remaining() {
+                return out.freeze();
+            }
+            out.put(&mut self.outgoing);
+        }
     }
 
     /// Takes bytes that have come.
@@ -185,6 +237,8 @@
                 }
             }
             kind::END => {
+                // What is still to be written of it is of no use to anybody.
+                self.outgoing.cancel(id);
                 let Some(open) = self.open.remove(&id).filter(|o| !o.aborted) else { return };
                 let small = &self.small;
                 let application = u32::from_be_bytes([small[0], small[1], small[2], small[3]]);
@@ -194,6 +248,7 @@
                 let values = pairs::read(self.small.split().freeze(), self.limits.pairs).unwrap_or_default();
                 events.push(Event::Values(values));
             }
+            kind::UNKNOWN_TYPE => events.push(Event::Unknown),
             _ => {}
         }
     }
--- a/crates/fastcgi/src/lib.rs
+++ b/crates/fastcgi/src/lib.rs
@@ -6,12 +6,14 @@
 //! | [`pairs`] | name-value pairs, with both forms of a length |
 //! | [`server`] | the side that gets requests: a connection of a web server's |
 //! | [`client`] | the side that makes them: a connection to an application |
+//! | [`outgoing`] | what is to be written, by turns |
 //! | [`cgi`] | what a responder writes before its body (RFC 3875, section 6) |
 //!
 //! Bytes come in, events and bytes to be written come out. Every bound is in [`Limits`]; an [`Error`] says what was wrong
 //! and at which byte of the connection. Nothing that comes in panics, or is held beyond its bound.
 pub mod cgi;
 pub mod client;
+pub mod outgoing;
 pub mod pairs;
 pub mod record;
 pub mod server;
--- a/crates/fastcgi/src/record.rs
+++ b/crates/fastcgi/src/record.rs
@@ -211,29 +211,13 @@
     (8 - length % 8) % 8
 }
 
-fn head(out: &mut BytesMut, kind: u8, id: u16, length: usize) {
+/// Writes the header of a record; how much padding goes behind its body.
+pub(crate) fn head(out: &mut BytesMut, kind: u8, id: u16, length: usize) -> usize {
     // Bodies are cut into parts that fit.
     let length16 = u16::try_from(length).unwrap_or(u16::MAX);
-    let padding = u8::try_from(padding(length)).unwrap_or(0);
-    out.put_slice(&Header { kind, id, length: length16, padding }.bytes());
-}
-
-/// A body as the records of one stream, without copying it: headers and padding between slices of it. Without its end.
-pub fn stream(kind: u8, id: u16, mut body: Bytes) -> Vec<Bytes> {
-    let mut parts = Vec::new();
-    while !body.is_empty() {
-        // A multiple of 8, so that only the last record is padded.
-        let part = body.split_to(body.len().min(BODY_MOST - 7));
-        let mut header = BytesMut::with_capacity(HEADER);
-        head(&mut header, kind, id, part.len());
-        let pad = padding(part.len());
-        parts.push(header.freeze());
-        parts.push(part);
-        if pad > 0 {
-            parts.push(Bytes::from_static(&[0; 8]).slice(..pad));
-        }
-    }
-    parts
+    let padded = padding(length);
+    out.put_slice(&Header { kind, id, length: length16, padding: u8::try_from(padded).unwrap_or(0) }.bytes());
+    padded
 }
 
 /// The body of a begin record.
--- a/crates/fastcgi/src/server.rs
+++ b/crates/fastcgi/src/server.rs
@@ -3,10 +3,11 @@
 //! Records of a request that is not open are passed over, as section 3.3 has it: they may have crossed its end. What a
 //! web server sends of one request wrongly is that request's fault ([`Event::Bad`], to be answered); what makes the
 //! bytes behind it uncertain is an [`Error`], and the connection has to end.
+use crate::outgoing::{Cancelled, Outgoing, Tail};
 use crate::pairs::{self, Pair};
 use crate::record::{self, kind, Decoder, Header, Piece, Protocol, KEEP, RESPONDER};
 use crate::{Error, Fault, Limits};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::collections::BTreeMap;
 
 /// A whole request.
@@ -36,6 +37,8 @@
     Body(Vec<Pair>, Vec<Bytes>, usize),
     /// Handed on, or bad.
     Given,
+    /// Its answer is on its way.
+    Answered,
 }
 
 struct Open {
@@ -52,15 +55,15 @@
     current: Option<Header>,
     /// The body of the record that is being read, where it is gathered: begins and management.
     small: BytesMut,
-    out: BytesMut,
+    outgoing: Outgoing,
     closing: bool,
 }
 
 impl Server {
     /// A connection that nothing has come on.
     pub fn new(limits: Limits) -> Server {
-        let (decoder, small, out) = (Decoder::default(), BytesMut::new(), BytesMut::new());
-        Server { limits, decoder, open: BTreeMap::new(), current: None, small, out, closing: false }
+        let (decoder, small, outgoing) = (Decoder::default(), BytesMut::new(), Outgoing::default());
+        Server { limits, decoder, open: BTreeMap::new(), current: None, small, outgoing, closing: false }
     }
 
     /// Requests that are owed an answer, or are still coming.
@@ -70,17 +73,49 @@
 
     /// Whether part of a record, or of a request, has come.
     pub fn midway(&self) -> bool {
-        self.decoder.midway() || self.open.values().any(|o| !matches!(o.stage, Stage::Given))
+        self.decoder.midway()
+            || self.open.values().any(|o| matches!(o.stage, Stage::Params(_) | Stage::Body(..)))
     }
 
-    /// Whether the connection is to be closed once all is written: a request without the flag to keep it was answered.
+    /// Whether the connection is to be closed: a request without the flag to keep it was answered, and all is written.
     pub fn closes(&self) -> bool {
-        self.closing && self.open.is_empty()
+        self.closing && self.open.is_empty() && !self.outgoing.any()
     }
 
-    /// What is to be written by itself: management, refusals, ends of what was aborted.
-    pub fn written(&mut self) -> Bytes {
-        self.out.split().freeze()
+    /// Whether so much waits to be written for the connection itself that nothing more should be read from it.
+    pub fn clogged(&self) -> bool {
+        self.outgoing.clogged()
+    }
+
+    /// Makes more ready to be written, once all that was ready has been taken: some of each answer in turn. How many
+    /// answers were written to their end since it was called last.
+    pub fn fill(&mut self) -> usize {
+        let mut finished = 0;
+        for id in self.outgoing.done() {
+            finished += 1;
+            if let Some(open) = self.open.remove(&id) {
+                self.closing |= !open.keep;
+            }
+        }
+        self.outgoing.fill(|_| true, &mut Vec::new());
+        finished
+    }
+
+    /// What is ready to be written.
+    pub fn outgoing(&mut self) -> &mut Outgoing {
+        &mut self.outgoing
+    }
+
+    /// All that is to be written, at once.
+    pub fn drain(&mut self) -> Bytes {
+        let mut out = BytesMut::new();
+        loop {
+            self.fill();
+            if !self.outgoing.has_remaining() {
+                return out.freeze();
+            }
+            out.put(&mut self.outgoing);
+        }
     }
 
     /// Takes bytes that have come.
@@ -140,7 +175,7 @@
         };
         match (kind, &mut open.stage) {
             (kind::BEGIN, _) => self.small.extend_from_slice(&bytes),
-            (_, Stage::Given) => {}
+            (_, Stage::Given | Stage::Answered) => {}
             (kind::PARAMS, Stage::Params(params)) if params.len() + bytes.len() <= limits.params => {
                 params.extend_from_slice(&bytes);
             }
@@ -159,7 +194,10 @@
         match kind {
             kind::BEGIN => return self.begin(id),
             kind::ABORT => {
-                if self.open.contains_key(&id) {
+                // An answer that is ready already ends the request by itself.
+                let answered = matches!(self.open.get(&id), Some(Open { stage: Stage::Answered, .. }));
+                let ready = answered && self.outgoing.cancel(id) == Cancelled::Gone;
+                if self.open.contains_key(&id) && !ready {
                     events.push(Event::Aborted(id));
                     self.finish(id, 0, Protocol::Complete);
                 }
@@ -168,7 +206,7 @@
             kind::STDIN if length == 0 => self.body_end(id, events),
             kind::GET_VALUES => self.values(),
             kind::PARAMS | kind::STDIN | kind::DATA => {}
-            unknown => record::write(&mut self.out, kind::UNKNOWN_TYPE, 0, &[unknown, 0, 0, 0, 0, 0, 0, 0]),
+            unknown => self.own(kind::UNKNOWN_TYPE, 0, &[unknown, 0, 0, 0, 0, 0, 0, 0]),
         }
         Ok(())
     }
@@ -188,7 +226,7 @@
             None
         };
         match refused {
-            Some(why) => record::write(&mut self.out, kind::END, id, &record::end_body(0, why)),
+            Some(why) => self.own(kind::END, id, &record::end_body(0, why)),
             None => drop(self.open.insert(id, Open { keep, stage: Stage::Params(BytesMut::new()) })),
         }
         Ok(())
@@ -204,13 +242,14 @@
                 Err(pairs::Bad::Short) => self.bad(id, 400, "the params end in the middle of a pair", events),
             },
             Stage::Body(..) => self.bad(id, 400, "records are out of order", events),
-            Stage::Given => {}
+            Stage::Given | Stage::Answered => {}
         }
     }
 
     fn body_end(&mut self, id: u16, events: &mut Vec<Event>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         match std::mem::replace(&mut open.stage, Stage::Given) {
+            Stage::Answered => open.stage = Stage::Answered,
             Stage::Body(params, parts, size) => {
                 events.push(Event::Request(Request { id, params, body: joined(parts, size) }));
             }
@@ -233,40 +272,44 @@
                 _ => {}
             }
         }
+        self.own(kind::GET_VALUES_RESULT, 0, &body);
+    }
+
+    /// Writes a record by itself.
+    fn own(&mut self, kind: u8, id: u16, body: &[u8]) {
+        let mut out = BytesMut::with_capacity(64);
         if body.is_empty() {
-            record::end(&mut self.out, kind::GET_VALUES_RESULT, 0);
+            record::end(&mut out, kind, id);
         } else {
-            record::write(&mut self.out, kind::GET_VALUES_RESULT, 0, &body);
+            record::write(&mut out, kind, id, body);
         }
+        self.outgoing.own(out.freeze());
     }
 
     fn finish(&mut self, id: u16, application: u32, protocol: Protocol) {
         if let Some(open) = self.open.remove(&id) {
             self.closing |= !open.keep;
-            record::write(&mut self.out, kind::END, id, &record::end_body(application, protocol));
+            self.own(kind::END, id, &record::end_body(application, protocol));
         }
     }
 
-    /// The whole answer to an open request: its head and body as a responder writes them, and its end. Nothing for one
-    /// that is not open any more.
-    pub fn answer(&mut self, id: u16, head: Bytes, body: Bytes) -> Vec<Bytes> {
-        if !self.open.contains_key(&id) {
-            return Vec::new();
+    /// The whole answer to an open request, to be written by turns: its head and body as a responder writes them, and
+    /// its end. The request is open until all of it is written. `false`: it is not open, or answered already.
+    pub fn answer(&mut self, id: u16, head: &[u8], body: Bytes) -> bool {
+        let Some(open) = self.open.get_mut(&id) else { return false };
+        if matches!(std::mem::replace(&mut open.stage, Stage::Answered), Stage::Answered) {
+            return false;
         }
-        let mut parts = vec![self.written()];
-        parts.extend(record::stream(kind::STDOUT, id, head));
-        parts.extend(record::stream(kind::STDOUT, id, body));
-        record::end(&mut self.out, kind::STDOUT, id);
-        self.finish(id, 0, Protocol::Complete);
-        parts.push(self.written());
-        parts.retain(|part| !part.is_empty());
-        parts
+        let mut out = BytesMut::with_capacity(head.len() + 128);
+        record::write(&mut out, kind::STDOUT, id, head);
+        self.outgoing.stream(id, out, kind::STDOUT, body, Tail::Complete);
+        true
     }
 
     /// Ends an open request without an answer, for this reason.
-    pub fn refuse(&mut self, id: u16, why: Protocol) -> Bytes {
+    pub fn refuse(&mut self, id: u16, why: Protocol) {
+        self.outgoing.cancel(id);
         self.finish(id, 0, why);
-        self.written()
     }
 }
 
--- a/crates/fastcgi/tests/fastcgi.rs
+++ b/crates/fastcgi/tests/fastcgi.rs
@@ -100,7 +100,7 @@
     // Two at once, interleaved.
     let two = Limits { requests: 2, ..Limits::default() };
     let mut client = started(two);
-    assert_eq!(client.begin(std::iter::empty(), Bytes::new(), true).map(|(id, _)| id), Some(2));
+    assert_eq!(client.begin(std::iter::empty(), Bytes::new(), true), Some(2));
     assert!(client.begin(std::iter::empty(), Bytes::new(), true).is_none(), "no more than that");
     let mixed = joined(&[
         record(kind::STDOUT, 1, b"Status: 200\r\n\r\none"),
@@ -150,13 +150,16 @@
 #[test]
 fn what_is_late_belongs_to_no_other_request() {
     let mut client = started(Limits { requests: 2, ..Limits::default() });
-    let abort = client.abort(1).expect("it is open");
-    assert_eq!((&abort[..], client.abort(1)), (&record(kind::ABORT, 1, b"")[..], None));
-    let (id, _) = client.begin(std::iter::empty(), Bytes::new(), true).expect("free");
+    assert!(!client.whole(1) && client.drain().ends_with(&record(kind::STDIN, 1, b"")) && client.whole(1));
+    assert!(client.abort(1) && !client.abort(1) && client.aborted() == 1);
+    assert_eq!(&client.drain()[..], &record(kind::ABORT, 1, b"")[..]);
+    let id = client.begin(std::iter::empty(), Bytes::new(), true).expect("free");
     assert_eq!(id, 2, "the old id is still taken");
+    // Of one that was not begun nothing is written, and its id is free at once.
+    assert!(!client.abort(2) && client.drain().is_empty() && client.open() == 1);
     let late = joined(&[record(kind::STDOUT, 1, b"Status: 200\r\n\r\nlate"), end(1, 0, Protocol::Complete)]);
     assert_eq!(answered(&mut client, &late, 4).expect("good"), []);
-    assert_eq!(client.begin(std::iter::empty(), Bytes::new(), true).map(|(id, _)| id), Some(1), "free again");
+    assert_eq!(client.begin(std::iter::empty(), Bytes::new(), true), Some(1), "free again");
     // Behind its end nothing may come, and what does makes the connection useless.
     let mut client = started(Limits::default());
     let twice = joined(&[end(1, 0, Protocol::Complete), end(1, 0, Protocol::Complete)]);
@@ -166,13 +169,103 @@
     let mut server = Server::new(Limits::default());
     let whole = joined(&[begin(1), record(kind::PARAMS, 1, b""), record(kind::STDIN, 1, b"")]);
     served(&mut server, &whole, 100).expect("good");
-    assert!(!server.answer(1, Bytes::from_static(b"Status: 200\r\n\r\n"), Bytes::new()).is_empty());
-    assert!(server.answer(1, Bytes::new(), Bytes::new()).is_empty(), "one answer");
+    assert!(server.answer(1, b"Status: 200\r\n\r\n", Bytes::new()));
+    assert!(!server.answer(1, b"", Bytes::new()) && !server.drain().is_empty(), "one answer");
+    assert!(server.open() == 0 && !server.answer(1, b"", Bytes::new()));
     let late =
         joined(&[record(kind::ABORT, 1, b""), record(kind::STDIN, 1, b"x"), record(kind::STDIN, 1, b"")]);
     assert_eq!(served(&mut server, &late, 100).expect("good"), []);
 }
 
+/// The records of some bytes: their types and ids, with the lengths of their bodies.
+fn records(bytes: &Bytes) -> Vec<(u8, u16, u16)> {
+    let (mut decoder, mut input, mut all) = (Decoder::default(), bytes.clone(), Vec::new());
+    while let Some(piece) = decoder.next(&mut input).expect("good") {
+        if let Piece::End(h) = piece {
+            all.push((h.kind, h.id, h.length));
+        }
+    }
+    assert!(!decoder.midway());
+    all
+}
+
+/// Takes this much of what is ready to be written.
+fn take(from: &mut impl bytes::Buf, most: usize) -> Bytes {
+    let n = from.remaining().min(most);
+    from.copy_to_bytes(n)
+}
+
+/// Guards against one large answer, or one large request, that holds up all others of its connection; and against a
+/// byte for what was called off, on either side.
+#[test]
+fn streams_are_written_by_turns_and_end_at_a_record_when_called_off() {
+    let limits = Limits { requests: 4, body: 1 << 20, ..Limits::default() };
+    let mut server = Server::new(limits);
+    for id in 1..=3 {
+        let whole = joined(&[begin(id), record(kind::PARAMS, id, b""), record(kind::STDIN, id, b"")]);
+        served(&mut server, &whole, 100).expect("good");
+    }
+    assert!(server.answer(1, b"Status: 200\r\n\r\n", Bytes::from(vec![b'x'; 200_000])));
+    assert!(server.answer(2, b"Status: 200\r\n\r\n", Bytes::from_static(b"small")));
+    assert!(server.answer(3, b"Status: 200\r\n\r\n", Bytes::from(vec![b'y'; 100_000])));
+    assert_eq!(server.fill(), 0);
+    let first = take(server.outgoing(), usize::MAX);
+    let second =
+        records(&first).iter().position(|r| *r == (kind::END, 2, 8)).expect("the small one is whole");
+    assert!(first.len() < 120_000 && second < 10, "behind one turn of the large one");
+    // The third is called off in the middle of its answer: a whole record, and its END.
+    let mut events = Vec::new();
+    server.receive(record(kind::ABORT, 3, b"").into(), &mut events).expect("good");
+    assert_eq!((events, server.fill()), (vec![Event::Aborted(3)], 1));
+    let rest = server.drain();
+    let ends: Vec<u16> = records(&rest).iter().filter(|r| r.0 == kind::END).map(|r| r.1).collect();
+    assert_eq!(ends, [3, 1]);
+    let of = |id: u16| records(&rest).iter().filter(|r| r.0 == kind::STDOUT && r.1 == id).count();
+    assert!(of(3) == 0 && of(1) > 5 && server.open() == 0);
+    // One whose answer is ready ends by that, once.
+    let whole = joined(&[begin(1), record(kind::PARAMS, 1, b""), record(kind::STDIN, 1, b"")]);
+    served(&mut server, &whole, 100).expect("good");
+    server.answer(1, b"Status: 200\r\n\r\n", Bytes::new());
+    server.fill();
+    assert_eq!(served(&mut server, &record(kind::ABORT, 1, b"").into(), 8).expect("good"), []);
+    assert_eq!(records(&server.drain()).iter().filter(|r| r.0 == kind::END).count(), 1);
+    // And the side that asks: by turns, and nothing of what may not begin.
+    let mut client = Client::new(limits);
+    let nothing = || std::iter::empty();
+    let large = client.begin(nothing(), Bytes::from(vec![b'x'; 100_000]), true).expect("free");
+    let barred = client.begin(nothing(), Bytes::new(), true).expect("free");
+    let small = client.begin(nothing(), Bytes::from_static(b"s"), true).expect("free");
+    let mut unsent = Vec::new();
+    client.fill(|id| id != barred, &mut unsent);
+    let first = take(client.outgoing(), 40_000);
+    assert!(unsent == [barred] && client.open() == 2 && !client.whole(large));
+    client.fill(|_| panic!("all of the rest begins once what was ready is taken"), &mut unsent);
+    let more = take(client.outgoing(), usize::MAX);
+    let so_far = Bytes::from([first, more].concat());
+    let all = records(&so_far);
+    assert!(client.whole(small) && all.iter().all(|r| r.1 != barred));
+    // An application that ends a request before it has all of it gets nothing more of it.
+    let early = joined(&[end(large, 0, Protocol::Overloaded)]);
+    let events = answered(&mut client, &early, 100).expect("good");
+    assert_eq!(events, [Answered::Ended(large, Outcome::Refused(Protocol::Overloaded))]);
+    assert!(client.drain().is_empty() && client.free());
+}
+
+/// Guards against a peer that asks without reading: what it makes us write has an end.
+#[test]
+fn questions_without_end_clog_the_connection() {
+    let mut server = Server::new(Limits::default());
+    let ask = Bytes::from(record(kind::GET_VALUES, 0, b"\x0f\x00FCGI_MPXS_CONNS"));
+    let mut n = 0;
+    while !server.clogged() {
+        server.receive(ask.clone(), &mut Vec::new()).expect("good");
+        n += 1;
+    }
+    assert!((1000..10_000).contains(&n), "{n}");
+    server.fill();
+    assert!(!server.clogged());
+}
+
 #[test]
 fn a_bad_request_is_answered_and_a_bad_connection_is_named() {
     let small = Limits { params: 64, pairs: 2, body: 10, ..Limits::default() };
@@ -212,7 +305,7 @@
         record(kind::UNKNOWN_TYPE, 0, &[77, 0, 0, 0, 0, 0, 0, 0]),
         record(kind::GET_VALUES_RESULT, 0, b"\x0f\x01FCGI_MPXS_CONNS0"),
     ]);
-    assert_eq!(server.written(), wanted);
+    assert_eq!(server.drain(), wanted);
     // Other roles, and more requests than may be, are refused by the protocol's own word; an abort is ended at once.
     let mut server = Server::new(small);
     let parts =
@@ -223,7 +316,7 @@
         end(2, 0, Protocol::CantMultiplex),
         end(1, 0, Protocol::Complete),
     ]);
-    assert_eq!((server.written(), server.open()), (wanted, 0));
+    assert_eq!((server.drain(), server.open()), (wanted, 0));
 }
 
 #[test]
@@ -277,17 +370,16 @@
         let limits = Limits { body: 1 << 20, ..Limits::default() };
         let mut client = Client::new(limits);
         let given = pairs.iter().map(|(n, v)| (n.as_bytes(), v.as_bytes()));
-        let (id, parts) = client.begin(given, Bytes::from(body.clone()), true).expect("free");
+        let id = client.begin(given, Bytes::from(body.clone()), true).expect("free");
         let mut server = Server::new(limits);
-        let events = served(&mut server, &Bytes::from(parts.concat()), step).expect("good");
+        let events = served(&mut server, &client.drain(), step).expect("good");
         let [Event::Request(request)] = &events[..] else { panic!("{events:?}") };
         prop_assert_eq!(&request.body[..], &body[..]);
         let got: Vec<_> = request.params.iter().map(|(n, v)| (n.to_vec(), v.to_vec())).collect();
         let wanted: Vec<_> = pairs.iter().map(|(n, v)| (n.clone().into_bytes(), v.clone().into_bytes())).collect();
         prop_assert_eq!(got, wanted);
-        let head = Bytes::from_static(b"Status: 200\r\n\r\n");
-        let parts = server.answer(request.id, head, Bytes::from(answer.clone()));
-        let events = answered(&mut client, &Bytes::from(parts.concat()), step).expect("good");
+        prop_assert!(server.answer(request.id, b"Status: 200\r\n\r\n", Bytes::from(answer.clone())));
+        let events = answered(&mut client, &server.drain(), step).expect("good");
         let [Answered::Ended(ended, Outcome::Answered(head, body))] = &events[..] else { panic!("{events:?}") };
         prop_assert_eq!((*ended, head.status, &body[..]), (id, 200, &answer[..]));
         prop_assert!(client.open() == 0 && server.open() == 0 && !server.closes());
--- a/crates/herondock/benches/fastcgi.rs
+++ b/crates/herondock/benches/fastcgi.rs
@@ -3,8 +3,8 @@
 //!
 //! `cargo bench -p herondock --bench fastcgi [-- SECONDS]`: 16 connections that ask again once they are answered, an
 //! upstream that answers 64 bytes at once; the pairings in turn within each of 5 rounds of SECONDS (2).
-use bytes::{Bytes, BytesMut};
-use fastcgi::record::{kind, stream, Decoder, Piece};
+use bytes::BytesMut;
+use fastcgi::record::{kind, Decoder, Piece};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -216,9 +216,7 @@
     for size in [512usize, 8 << 10, 60_000] {
         let mut bytes = BytesMut::new();
         while bytes.len() < 16 << 20 {
-            stream(kind::STDIN, 1, Bytes::from(vec![7; size]))
-                .iter()
-                .for_each(|part| bytes.extend_from_slice(part));
+            bytes.extend_from_slice(&record(kind::STDIN, 1, &vec![7; size], 0));
         }
         let bytes = bytes.freeze();
         let (mut decoded, mut copied) = (Vec::new(), Vec::new());
--- a/crates/herondock/src/front/fastcgi.rs
+++ b/crates/herondock/src/front/fastcgi.rs
@@ -11,8 +11,7 @@
 use crate::live::Live;
 use crate::log::log;
 use crate::sockets::Sockets;
-use crate::stream::write_parts;
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use fastcgi::pairs::Pair;
 use fastcgi::server::{self, Event, Server as Machine};
 use fastcgi::Limits as Bounds;
@@ -34,8 +33,11 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-/// What is read at once.
+/// What is read at once, in the middle of a request and before one.
 const READ: usize = 16 << 10;
+const READ_FIRST: usize = 4 << 10;
+/// Less room than this is made more.
+const READ_LEAST: usize = 1 << 10;
 /// Pause after an accept that failed, for want of descriptors for one.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -152,16 +154,36 @@
     listen.iter().map(one).collect()
 }
 
-/// An answer on its way to its connection: the request's id, the head and the body.
-type Answered = (u16, Bytes, Bytes);
+/// A request of a connection: its id, which comes again, and its number, which does not.
+type Turn = (u16, u64);
+/// An answer on its way to its connection: the request, the head and the body.
+type Answered = (Turn, Bytes, Bytes);
 
-/// Ends tasks when it is dropped: nobody waits for their answers any more.
+/// What a connection's requests are waited for by. Ends all when it is dropped: nobody waits for their answers any more.
 #[derive(Default)]
-struct Tasks(HashMap<u16, AbortHandle>);
+struct Tasks {
+    open: HashMap<u16, (u64, AbortHandle)>,
+    begun: u64,
+}
+
+impl Tasks {
+    /// The number of the next request.
+    fn next(&mut self) -> u64 {
+        self.begun += 1;
+        self.begun
+    }
+
+    /// Guards against the answer to a request that was called off, on its way meanwhile, reaching the next one with
+    /// its id.
+    fn answered(&mut self, (id, number): Turn) -> bool {
+        let known = self.open.get(&id).is_some_and(|(open, _)| *open == number);
+        known && self.open.remove(&id).is_some()
+    }
+}
 
 impl Drop for Tasks {
     fn drop(&mut self) {
-        self.0.values().for_each(AbortHandle::abort);
+        self.open.values().for_each(|(_, task)| task.abort());
     }
 }
 
@@ -272,22 +294,38 @@
         let (tell, mut told) = mpsc::channel::<Answered>(self.settings.requests);
         let (mut tasks, mut events, mut buffer) = (Tasks::default(), Vec::new(), BytesMut::new());
         let mut course = self.course.clone();
-        // Since when the caller is waited for.
-        let mut since = Instant::now();
+        // Since when the caller is waited for, and since when it takes nothing of what is ready for it.
+        let (mut since, mut untaken) = (Instant::now(), Instant::now());
         // One that has not asked yet keeps its time, whatever ends.
         let mut newcomer = true;
         loop {
+            let finished = machine.fill() > 0;
             let phase = course.borrow_and_update().phase;
+            if finished {
+                (since, newcomer) = (Instant::now(), false);
+            }
             let rests = machine.open() == 0 && !machine.midway();
-            if machine.closes() || (rests && !newcomer && phase == Phase::Silencing) {
+            // The end is announced by closing behind an answer: the protocol has no other way.
+            let ends = phase == Phase::Silencing || (finished && phase >= Phase::Closing);
+            if machine.closes() || (rests && !newcomer && ends) {
                 break;
             }
             let wait = if rests && !newcomer { limits.idle_wait } else { limits.request_wait };
             // Nobody waits for the caller while all that is open is on its way to be answered.
             let waits = rests || machine.midway();
-            buffer.reserve(READ);
+            let writes = machine.outgoing().has_remaining();
+            if buffer.capacity() - buffer.len() < READ_LEAST {
+                buffer.reserve(if machine.midway() { READ } else { READ_FIRST });
+            }
             tokio::select! {
-                read = reader.read_buf(&mut buffer) => {
+                wrote = writer.write_buf(machine.outgoing()), if writes => {
+                    if !matches!(wrote, Ok(n) if n > 0) {
+                        break;
+                    }
+                    untaken = Instant::now();
+                }
+                // A caller that does not read its answers may still call them off, and ask for more within its bound.
+                read = reader.read_buf(&mut buffer), if !machine.clogged() => {
                     if !matches!(read, Ok(n) if n > 0) {
                         break;
                     }
@@ -295,44 +333,39 @@
                         since = Instant::now();
                     }
                     let sound = machine.receive(buffer.split().freeze(), &mut events);
-                    let mut parts = vec![machine.written()];
                     for event in events.drain(..) {
                         match event {
                             Event::Request(request) => {
-                                let id = request.id;
-                                let task = self.clone().request(request, tell.clone());
-                                tasks.0.insert(id, tokio::task::spawn_local(task).abort_handle());
+                                let turn = (request.id, tasks.next());
+                                let task = self.clone().request(request, turn, tell.clone());
+                                let task = tokio::task::spawn_local(task).abort_handle();
+                                tasks.open.insert(turn.0, (turn.1, task));
                             }
                             Event::Bad(id, status, why) => {
-                                parts.extend(machine.answer(id, head(status, None, &Fields::default()), format!("{why}\n").into()));
+                                machine.answer(id, &head(status, None, &Fields::default()), format!("{why}\n").into());
                             }
                             Event::Aborted(id) => {
-                                if let Some(task) = tasks.0.remove(&id) {
+                                if let Some((_, task)) = tasks.open.remove(&id) {
                                     task.abort();
                                 }
                             }
                         }
                     }
-                    if !write(&mut writer, &parts, limits.flush_wait).await {
-                        break;
-                    }
                     if let Err(e) = sound {
                         log!("fastcgi: {e}");
+                        // What was answered before the fault still goes out.
+                        let _ = timeout(limits.flush_wait, writer.write_all(&machine.drain())).await;
                         break;
                     }
+                    untaken = if writes { untaken } else { Instant::now() };
                 }
-                Some((id, head, body)) = told.recv() => {
-                    tasks.0.remove(&id);
-                    (since, newcomer) = (Instant::now(), false);
-                    let parts = machine.answer(id, head, body);
-                    if !write(&mut writer, &parts, limits.flush_wait).await {
-                        break;
-                    }
-                    // The end is announced by closing behind an answer: the protocol has no other way.
-                    if machine.open() == 0 && !machine.midway() && course.borrow().phase >= Phase::Closing {
-                        break;
+                Some((turn, head, body)) = told.recv() => {
+                    if tasks.answered(turn) {
+                        machine.answer(turn.0, &head, body);
                     }
+                    untaken = if writes { untaken } else { Instant::now() };
                 }
+                () = sleep_until(untaken + limits.flush_wait), if writes => break,
                 () = sleep_until(since + wait), if waits => break,
                 changed = course.changed() => if changed.is_err() { break },
             }
@@ -340,8 +373,7 @@
         let _ = timeout(limits.flush_wait, writer.shutdown()).await;
     }
 
-    async fn request(self: Rc<Server>, request: server::Request, tell: mpsc::Sender<Answered>) {
-        let id = request.id;
+    async fn request(self: Rc<Server>, request: server::Request, turn: Turn, tell: mpsc::Sender<Answered>) {
         let (head, body) = match self.take(request) {
             Ok(waiting) => match waiting.answer().await {
                 Answer::Served { fields, body } => (head(200, None, &fields), body),
@@ -357,7 +389,7 @@
             }
         };
         // The connection may have ended meanwhile.
-        let _ = tell.send((id, head, body)).await;
+        let _ = tell.send((turn, head, body)).await;
     }
 
     fn take(
@@ -478,7 +510,22 @@
     out.freeze()
 }
 
-/// Writes parts within so much time; `false`: the caller does not take them.
-async fn write(writer: &mut (impl AsyncWrite + Unpin), parts: &[Bytes], most: Duration) -> bool {
-    parts.iter().all(Bytes::is_empty) || matches!(timeout(most, write_parts(writer, parts)).await, Ok(Ok(())))
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against an answer that crosses an abort and reaches the next request with the same id.
+    #[tokio::test]
+    async fn an_answer_belongs_to_its_request_and_not_to_its_id() {
+        let mut tasks = Tasks::default();
+        let handle = || tokio::spawn(async {}).abort_handle();
+        let first = tasks.next();
+        tasks.open.insert(1, (first, handle()));
+        // Called off while its answer is on its way, and the id begins again.
+        tasks.open.remove(&1);
+        let second = tasks.next();
+        tasks.open.insert(1, (second, handle()));
+        assert!(!tasks.answered((1, first)));
+        assert!(tasks.answered((1, second)) && !tasks.answered((1, second)));
+    }
 }
--- a/crates/herondock/src/run/mod.rs
+++ b/crates/herondock/src/run/mod.rs
@@ -102,12 +102,15 @@
         limits: limits.clone(),
     };
     let operator_fastcgi = operator.fastcgi.clone();
-    let params = Rc::new(transport::fastcgi::Params(operator_fastcgi.params.clone()));
+    let to_members = transport::fastcgi::Settings {
+        params: transport::fastcgi::Params(operator_fastcgi.params.clone()),
+        multiplex: operator_fastcgi.multiplex,
+    };
     let handle = Handle::new(Parts {
         balancer,
         start,
         start_ms,
-        transports: Box::new(transport::choose(reach, params)),
+        transports: Box::new(transport::choose(reach, Rc::new(to_members))),
         sockets: budget.clone(),
         drain_grace: span(deployment.drain_grace),
         max_open: usize::try_from(deployment.max_open).unwrap_or(usize::MAX),
--- a/crates/herondock/src/stream.rs
+++ b/crates/herondock/src/stream.rs
@@ -1,12 +1,11 @@
-//! A socket that stays in sight while a protocol's library reads and writes it, and writing of several parts.
-use bytes::{Bytes, BytesMut};
+//! A socket that stays in sight while a protocol's library reads and writes it.
 use std::cell::{RefCell, RefMut};
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 /// A stream with more than one holder; closed when the last one drops it.
@@ -32,27 +31,6 @@
     }
 }
 
-/// Parts below this are written together with those beside them: each write is a call to the system.
-const SMALL: usize = 4 << 10;
-
-/// Writes all parts, in order.
-///
-/// # Errors
-/// The other side does not take them. Whatever was written before, the last part was not.
-pub async fn write_parts(writer: &mut (impl AsyncWrite + Unpin), parts: &[Bytes]) -> io::Result<()> {
-    let mut small = BytesMut::new();
-    for part in parts {
-        if part.len() < SMALL {
-            small.extend_from_slice(part);
-            continue;
-        }
-        writer.write_all(&small).await?;
-        small.clear();
-        writer.write_all(part).await?;
-    }
-    writer.write_all(&small).await
-}
-
 impl AsyncRead for Shared {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut *self.stream()).poll_read(cx, buf)
--- a/crates/herondock/src/transport/fastcgi.rs
+++ b/crates/herondock/src/transport/fastcgi/mod.rs
@@ -15,119 +15,117 @@
 //! | any other status | it may have | error |
 //! | nothing | it may have, or may yet | timed out |
 //!
-//! An attempt that is called off closes its connection: nothing of it can reach another request.
-use super::pool::{Dialled, Kept, Peer, Reach, Speaks};
+//! An attempt alone on its connection that is called off closes it: nothing of it can reach another request. On a connection
+//! with several it is called off by ABORT, and its id is not used again before its END.
+//!
+//! | file | its job |
+//! | --- | --- |
+//! | `alone.rs` | one request at a time on a connection |
+//! | `shared.rs` | several, where the application said that it takes them |
+//! | `asked.rs` | asks it |
+//! | `wire.rs` | a connection: the machine and its socket |
+mod alone;
+mod asked;
+mod shared;
+mod wire;
+
+use super::pool::{Kept, Peer, Reach, Speaks};
 use crate::exchange::{Answer, Attempt, Ended, Fields, Method, Request, Upstream};
 use crate::http::{belongs_to_a_hop, DEADLINE};
-use crate::stream::{write_parts, Shared};
-use bytes::{Bytes, BytesMut};
+use alone::Alone;
+use asked::Asked;
+use bytes::Bytes;
 use fastcgi::cgi::Head;
-use fastcgi::client::{Client, Event, Outcome};
+use fastcgi::client::{Client, Outcome};
 use fastcgi::Limits;
 use oakflow::Ending;
+use shared::{Held, Links};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::io::AsyncReadExt;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
-/// What is read at once.
-const READ: usize = 16 << 10;
-
 /// Params that the operator declares, with their templates: `{path}` and `{query}` stand for those of the request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Params(pub Vec<(String, String)>);
 
+/// What goes to every upstream that speaks FastCGI.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Settings {
+    /// Declared params.
+    pub params: Params,
+    /// Requests at once on a connection to an application that takes several; 1: none is asked.
+    pub multiplex: usize,
+}
+
 /// An upstream that speaks FastCGI.
-pub fn upstream(reach: Reach, addr: SocketAddr, params: Rc<Params>) -> Rc<dyn Upstream> {
-    Peer::new(reach, FastCgi(params), addr)
+pub fn upstream(reach: Reach, addr: SocketAddr, settings: Rc<Settings>) -> Rc<dyn Upstream> {
+    Peer::new(reach, FastCgi { settings, asked: Asked::default(), links: Links::default() }, addr)
 }
 
 /// FastCGI 1.0, to a responder.
-pub struct FastCgi(Rc<Params>);
-
-/// One open connection.
-pub struct Conn {
-    socket: Shared,
-    client: Client,
-    generation: u64,
-    _permit: OwnedSemaphorePermit,
+pub struct FastCgi {
+    settings: Rc<Settings>,
+    /// Whether it takes several requests at once.
+    asked: Asked,
+    /// Connections with several requests, or with one that was called off and has not ended.
+    links: Links,
+}
+
+/// A connection that carries nothing.
+pub enum Conn {
+    /// One request at a time.
+    Alone(Box<Alone>),
+    /// Several.
+    Shared(Held),
 }
 
 impl Kept for Conn {
     fn clean(&self) -> bool {
-        self.client.open() == 0 && !self.client.midway() && self.socket.quiet()
+        match self {
+            Conn::Alone(alone) => alone.wire.clean(),
+            Conn::Shared(held) => held.clean(),
+        }
     }
 
     fn closed(&self) -> bool {
-        !self.socket.quiet()
+        match self {
+            Conn::Alone(alone) => alone.wire.closed(),
+            Conn::Shared(held) => held.closed(),
+        }
     }
 }
 
 impl Speaks for FastCgi {
     type Conn = Conn;
 
-    async fn carry_out(peer: &Peer<FastCgi>, attempt: Attempt) -> Ended {
-        let limits = peer.reach.limits.get();
-        let bounds = Limits { head: limits.head, body: limits.body, ..Limits::default() };
-        let (mut conn, id) = loop {
-            let (mut conn, reused) = match peer.take() {
-                Some(conn) => (conn, true),
-                None => match peer.dial(attempt.until).await {
-                    Ok(Dialled { socket, generation, permit }) => {
-                        (Conn { socket, client: Client::new(bounds), generation, _permit: permit }, false)
-                    }
-                    Err(ending) => return (ending, None),
-                },
-            };
-            let now = Instant::now();
-            if !attempt.may_be_written(now) {
-                return (Ending::Moot, None);
-            }
-            let left = format!("{}u", (attempt.until - now).as_micros());
-            let params = params(&attempt.request, &peer.own.0, &left);
-            let all = params.iter().map(|(name, value)| (&name[..], &value[..]));
-            let begun = conn.client.begin(all, attempt.request.body.clone(), true);
-            // A connection that is kept carries nothing.
-            let Some((id, parts)) = begun else { return (Ending::Moot, None) };
-            match write_parts(&mut conn.socket, &parts).await {
-                Ok(()) => break (conn, id),
-                // Its last byte was not written, so nothing ran. One that rested and had been closed meanwhile says
-                // nothing about the upstream, so the next one is tried; each is tried once.
-                Err(_) if reused => {}
-                Err(_) => return (Ending::ConnectFailed, None),
-            }
+    async fn carry_out(peer: &Rc<Peer<FastCgi>>, attempt: Attempt) -> Ended {
+        let outcome = match asked::at_once(peer, &attempt) {
+            Some(most) => shared::carry_out(peer, attempt, most).await,
+            None => alone::carry_out(peer, attempt).await,
         };
-        let Some(outcome) = read(&mut conn, id).await else { return (Ending::Reset, None) };
-        if conn.client.open() == 0 && !conn.client.midway() {
-            let generation = conn.generation;
-            peer.keep(conn, generation, &attempt);
-        }
         match outcome {
-            Outcome::Answered(head, body) => answered(&head, body),
-            Outcome::Refused(_) => (Ending::Full, None),
-            Outcome::Useless(..) => (Ending::Error, None),
+            Ok(Outcome::Answered(head, body)) => answered(&head, body),
+            Ok(Outcome::Refused(_)) => (Ending::Full, None),
+            Ok(Outcome::Useless(..)) => (Ending::Error, None),
+            Err(ending) => (ending, None),
         }
     }
 }
 
-/// Reads until the request has ended; `None`: the connection did before, or what came on it can't be read.
-async fn read(conn: &mut Conn, id: u16) -> Option<Outcome> {
-    let (mut buffer, mut events) = (BytesMut::new(), Vec::new());
-    loop {
-        buffer.reserve(READ);
-        match conn.socket.read_buf(&mut buffer).await {
-            Ok(n) if n > 0 => conn.client.receive(buffer.split().freeze(), &mut events).ok()?,
-            _ => return None,
-        }
-        for event in events.drain(..) {
-            match event {
-                Event::Ended(ended, outcome) if ended == id => return Some(outcome),
-                Event::Ended(..) | Event::Values(_) => {}
-            }
-        }
-    }
+/// The machine of a new connection.
+fn machine(peer: &Peer<FastCgi>) -> Client {
+    let limits = peer.reach.limits.get();
+    let requests = peer.own.settings.multiplex.max(1);
+    Client::new(Limits { head: limits.head, body: limits.body, requests, ..Limits::default() })
+}
+
+/// Begins an attempt's request: its id.
+fn begin(peer: &Peer<FastCgi>, client: &mut Client, attempt: &Attempt) -> Option<u16> {
+    let left = format!("{}u", (attempt.until - Instant::now()).as_micros());
+    let params = params(&attempt.request, &peer.own.settings.params, &left);
+    let all = params.iter().map(|(name, value)| (&name[..], &value[..]));
+    client.begin(all, attempt.request.body.clone(), true)
 }
 
 /// What an answer says. Only a mark that the request was turned away proves that it never ran.
--- a/crates/herondock/src/transport/http.rs
+++ b/crates/herondock/src/transport/http.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use oakflow::Ending;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
@@ -67,7 +68,7 @@
 impl Speaks for Http {
     type Conn = Conn;
 
-    async fn carry_out(peer: &Peer<Http>, attempt: Attempt) -> Ended {
+    async fn carry_out(peer: &Rc<Peer<Http>>, attempt: Attempt) -> Ended {
         let Ok(mut request) = message(&attempt.request) else { return (Ending::Moot, None) };
         let body_most = peer.reach.limits.get().body;
         let (mut conn, answer) = loop {
@@ -107,7 +108,7 @@
         if let Ok(Ok(())) = timeout(SETTLE, conn.sender.ready()).await {
             // Whether something unread is on it is asked when it is taken again.
             let generation = conn.generation;
-            peer.keep(conn, generation, &attempt);
+            peer.keep(conn, generation, &attempt.gate);
         }
         let answer = match ending {
             Ending::Ok => Some(Answer::Served { fields: fields(&head.headers, &[]), body: body.to_bytes() }),
@@ -203,7 +204,7 @@
                     let mut conn = dial(&upstream, until).await.expect("connects");
                     let (mut peer, _) = listener.accept().expect("accepts");
                     conn.sender.ready().await.expect("it is open");
-                    upstream.keep(conn, 0, &attempt());
+                    upstream.keep(conn, 0, &attempt().gate);
                     match extra {
                         Some(extra) => peer.write_all(extra).expect("writes"),
                         None => drop(peer.shutdown(std::net::Shutdown::Both)),
--- a/crates/herondock/src/transport/mod.rs
+++ b/crates/herondock/src/transport/mod.rs
@@ -9,9 +9,9 @@
 use std::rc::Rc;
 
 /// Chooses the transport of each upstream.
-pub fn choose(reach: Reach, params: Rc<fastcgi::Params>) -> impl Fn(&Entry) -> Rc<dyn Upstream> {
+pub fn choose(reach: Reach, fastcgi: Rc<fastcgi::Settings>) -> impl Fn(&Entry) -> Rc<dyn Upstream> {
     move |entry| match entry.speaks {
         Protocol::Http => Peer::new(reach.clone(), http::Http, entry.addr),
-        Protocol::FastCgi => fastcgi::upstream(reach.clone(), entry.addr, params.clone()),
+        Protocol::FastCgi => fastcgi::upstream(reach.clone(), entry.addr, fastcgi.clone()),
     }
 }
--- a/crates/herondock/src/transport/pool.rs
+++ b/crates/herondock/src/transport/pool.rs
@@ -1,5 +1,5 @@
 //! An upstream, and the connections that are kept to it, whatever it speaks.
-use crate::exchange::{Attempt, Ended, Running, Upstream};
+use crate::exchange::{Attempt, Ended, Gate, Running, Upstream};
 use crate::live::Live;
 use crate::sockets::Sockets;
 use crate::stream::Shared;
@@ -29,7 +29,7 @@
     type Conn: Kept;
 
     /// Carries one attempt out: its request is written once at most. Dropping the future closes the connection.
-    fn carry_out(peer: &Peer<Self>, attempt: Attempt) -> impl Future<Output = Ended> + '_;
+    fn carry_out(peer: &Rc<Peer<Self>>, attempt: Attempt) -> impl Future<Output = Ended> + '_;
 }
 
 /// How upstreams are reached.
@@ -129,12 +129,22 @@
     }
 
     /// Keeps a connection of this generation for the next request, unless its upstream takes none.
-    pub fn keep(&self, conn: P::Conn, generation: u64, attempt: &Attempt) {
-        if !attempt.gate.closed(Instant::now()) && generation == self.generation.get() {
+    pub fn keep(&self, conn: P::Conn, generation: u64, gate: &Gate) {
+        if !gate.closed(Instant::now()) && self.current(generation) {
             self.idle.borrow_mut().push((conn, Instant::now()));
         }
     }
 
+    /// Whether connections of this generation lead to the process that is there now.
+    pub fn current(&self, generation: u64) -> bool {
+        generation == self.generation.get()
+    }
+
+    /// The generation of the process that is there now.
+    pub fn generation(&self) -> u64 {
+        self.generation.get()
+    }
+
     /// Makes a connection.
     ///
     /// # Errors
--- a/crates/herondock/tests/common/mod.rs
+++ b/crates/herondock/tests/common/mod.rs
@@ -78,27 +78,36 @@
     pub front: bool,
     /// Whether upstreams do.
     pub upstream: bool,
+    /// Requests at once on a connection to an upstream.
+    pub at_once: usize,
 }
 
-/// All four.
-pub const PAIRINGS: [Pairing; 4] = [
-    Pairing { front: false, upstream: false },
-    Pairing { front: false, upstream: true },
-    Pairing { front: true, upstream: false },
-    Pairing { front: true, upstream: true },
+const fn pairing(front: bool, upstream: bool, at_once: usize) -> Pairing {
+    Pairing { front, upstream, at_once }
+}
+
+/// All four, and with several requests at once on a connection to an upstream.
+pub const PAIRINGS: [Pairing; 5] = [
+    pairing(false, false, 1),
+    pairing(false, true, 1),
+    pairing(true, false, 1),
+    pairing(true, true, 1),
+    pairing(true, true, 8),
 ];
 
 impl Pairing {
     /// An upstream's options.
     pub fn options(self, name: &str) -> Options {
-        Options { fastcgi: self.upstream, ..Options::named(name) }
+        Options { fastcgi: self.upstream, at_once: self.at_once, ..Options::named(name) }
     }
 
     /// The operator's file that goes with it.
     pub fn operator(self) -> PathBuf {
         let speaks = if self.upstream { "fastcgi" } else { "http" };
         let listen = if self.front { "listen = [\"127.0.0.1:0\"]" } else { "" };
-        program().file(".toml", &format!("[registry]\nspeaks = \"{speaks}\"\n[fastcgi]\n{listen}\n"))
+        let (fastcgi, at_once) =
+            (format!("[registry]\nspeaks = \"{speaks}\"\n[fastcgi]\n{listen}"), self.at_once);
+        program().file(".toml", &format!("{fastcgi}\nmultiplex = {at_once}\n"))
     }
 
     /// Where its callers connect to this instance.
--- a/crates/settings/src/fastcgi.rs
+++ b/crates/settings/src/fastcgi.rs
@@ -27,6 +27,8 @@
     pub listen: Vec<Listen>,
     /// Requests at once on a caller's connection.
     pub requests: usize,
+    /// Requests at once on a connection to a member that says that it takes several; 1: it is not asked.
+    pub multiplex: usize,
     /// Params in which a request's id, class, tenant, key and deadline are.
     pub names: Names,
     /// Params for members, with their templates.
@@ -35,7 +37,7 @@
 
 impl Default for FastCgi {
     fn default() -> Self {
-        FastCgi { listen: Vec::new(), requests: 1, names: Names::default(), params: Vec::new() }
+        FastCgi { listen: Vec::new(), requests: 1, multiplex: 1, names: Names::default(), params: Vec::new() }
     }
 }
 
@@ -72,6 +74,7 @@
     #[serde(default)]
     listen: Vec<Spanned<String>>,
     requests: Option<Spanned<i64>>,
+    multiplex: Option<Spanned<i64>>,
     #[serde(default)]
     names: RawNames,
     #[serde(default)]
@@ -113,14 +116,14 @@
         let what = format!("there are more than {MOST}");
         return Err(Fault { line: 0, column: 0, field: "fastcgi.listen, fastcgi.params".into(), what });
     }
-    let requests = match raw.requests {
-        None => 1,
-        Some(n) => {
-            usize::try_from(*n.get_ref()).ok().filter(|n| (1..=1000).contains(n)).ok_or_else(|| {
-                fault_at(text, n.span().start, "fastcgi.requests", "is not between 1 and 1000".into())
-            })?
-        }
+    let at_once = |field: &str, given: Option<Spanned<i64>>| {
+        let Some(n) = given else { return Ok(1) };
+        let fits = usize::try_from(*n.get_ref()).ok().filter(|n| (1..=1000).contains(n));
+        fits.ok_or_else(|| {
+            fault_at(text, n.span().start, &format!("fastcgi.{field}"), "is not between 1 and 1000".into())
+        })
     };
+    let (requests, multiplex) = (at_once("requests", raw.requests)?, at_once("multiplex", raw.multiplex)?);
     let mut params = Vec::new();
     for (param, value) in raw.params {
         if value.get_ref().len() > TEXT_MOST || value.get_ref().chars().any(char::is_control) {
@@ -133,6 +136,7 @@
     Ok(FastCgi {
         listen: raw.listen.iter().map(|l| listen(text, l)).collect::<Result<_, _>>()?,
         requests,
+        multiplex,
         names: Names {
             id: name("id", n.id, d.id)?,
             class: name("class", n.class, d.class)?,
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -312,6 +312,7 @@
             ),
             ("[fastcgi]\nlisten = [\"nowhere\"]\n", "2:11: ", "fastcgi.listen"),
             ("[fastcgi]\nrequests = 0\n", "2:12: ", "fastcgi.requests"),
+            ("[fastcgi]\nmultiplex = 1001\n", "2:13: ", "fastcgi.multiplex"),
             ("[fastcgi.names]\nid = \"req-id\"\n", "2:6: ", "fastcgi.names.id"),
         ] {
             let error = error(text);
--- a/crates/testkit/src/caller.rs
+++ b/crates/testkit/src/caller.rs
@@ -240,8 +240,11 @@
             let stream =
                 fresh.and_then(|stream| if self.asks { ready(stream, patience) } else { Some(stream) });
             if let Some(stream) = stream {
-                let link =
-                    if self.fastcgi { Link::FastCgi(WebServer::on(stream)) } else { Link::Http(stream) };
+                let link = if self.fastcgi {
+                    Link::FastCgi(Box::new(WebServer::on(stream)))
+                } else {
+                    Link::Http(stream)
+                };
                 return Some((name, addr, link, false));
             }
         }
@@ -296,7 +299,7 @@
 /// One connection of a caller's.
 enum Link {
     Http(BufReader<TcpStream>),
-    FastCgi(WebServer),
+    FastCgi(Box<WebServer>),
 }
 
 /// What came of a request on a connection.
--- a/crates/testkit/src/fastcgi.rs
+++ b/crates/testkit/src/fastcgi.rs
@@ -6,12 +6,12 @@
 use crate::PATIENCE;
 use bytes::Bytes;
 use fastcgi::client::{Client, Event as Came, Outcome};
-use fastcgi::server::{Event, Server};
+use fastcgi::server::{Event, Request, Server};
 use fastcgi::Limits;
 use std::collections::VecDeque;
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 const READ: usize = 64 << 10;
 
@@ -58,19 +58,30 @@
     format!("Status: {rest}")
 }
 
-/// The application's side of a connection, one request at a time.
+/// The application's side of a connection. Its clones answer the same connection.
+#[derive(Clone)]
 pub struct Responder {
     stream: Arc<TcpStream>,
-    server: Server,
+    server: Arc<Mutex<Server>>,
     waiting: VecDeque<(u16, Message)>,
+    /// The request that it answers.
     id: u16,
 }
 
 impl Responder {
-    /// On this connection.
-    pub fn new(stream: Arc<TcpStream>) -> Responder {
-        let limits = Limits { params: 1 << 20, body: 64 << 20, pairs: 1000, ..Limits::default() };
-        Responder { stream, server: Server::new(limits), waiting: VecDeque::new(), id: 0 }
+    /// On this connection, with so many requests at once.
+    pub fn new(stream: Arc<TcpStream>, requests: usize) -> Responder {
+        let limits = Limits { params: 1 << 20, body: 64 << 20, pairs: 1000, requests, ..Limits::default() };
+        Responder {
+            stream,
+            server: Arc::new(Mutex::new(Server::new(limits))),
+            waiting: VecDeque::new(),
+            id: 0,
+        }
+    }
+
+    fn server(&self) -> MutexGuard<'_, Server> {
+        self.server.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The next request as an HTTP message; `None`: the connection ended.
@@ -78,24 +89,15 @@
         let (mut buffer, mut events) = (vec![0; READ], Vec::new());
         while self.waiting.is_empty() {
             let n = (&*self.stream).read(&mut buffer).ok().filter(|&n| n > 0)?;
-            self.server.receive(Bytes::copy_from_slice(&buffer[..n]), &mut events).ok()?;
-            let written = self.server.written();
-            (&*self.stream).write_all(&written).ok()?;
+            {
+                let mut server = self.server();
+                server.receive(Bytes::copy_from_slice(&buffer[..n]), &mut events).ok()?;
+                let written = server.drain();
+                (&*self.stream).write_all(&written).ok()?;
+            }
             for event in events.drain(..) {
                 if let Event::Request(r) = event {
-                    let text = |b: &Bytes| String::from_utf8_lossy(b).into_owned();
-                    let param = |name: &str| r.params.iter().find(|(n, _)| n == name).map(|(_, v)| text(v));
-                    let start = format!(
-                        "{} {} HTTP/1.1",
-                        param("REQUEST_METHOD").unwrap_or_default(),
-                        param("REQUEST_URI").unwrap_or_default()
-                    );
-                    let header = |(n, v): &(Bytes, Bytes)| {
-                        let name = text(n).strip_prefix("HTTP_")?.replace('_', "-").to_ascii_lowercase();
-                        Some((name, text(v)))
-                    };
-                    let headers = r.params.iter().filter_map(header).collect();
-                    self.waiting.push_back((r.id, Message { start, headers, body: r.body.to_vec() }));
+                    self.waiting.push_back((r.id, message(&r)));
                 }
             }
         }
@@ -116,13 +118,38 @@
         if whole {
             out.extend(record(6, self.id, b"", 0));
             out.extend(end(self.id, 0, 0));
-            // Its books: the request is over for the reader too.
-            let _ = self.server.refuse(self.id, fastcgi::record::Protocol::Complete);
+        }
+        // Held while it writes, so that answers do not mix within a record.
+        let mut server = self.server();
+        let open = server.open();
+        if whole {
+            // Its books: the request is over for the reader too. What was written of it stands above.
+            server.refuse(self.id, fastcgi::record::Protocol::Complete);
+            let _ = server.drain();
+        }
+        // One that was called off has its end already.
+        if whole && server.open() == open {
+            return Ok(());
         }
         (&*self.stream).write_all(&out)
     }
 }
 
+fn message(r: &Request) -> Message {
+    let text = |b: &Bytes| String::from_utf8_lossy(b).into_owned();
+    let param =
+        |name: &str| r.params.iter().find(|(n, _)| n == name).map(|(_, v)| text(v)).unwrap_or_default();
+    let header = |(n, v): &(Bytes, Bytes)| {
+        let name = text(n).strip_prefix("HTTP_")?.replace('_', "-").to_ascii_lowercase();
+        Some((name, text(v)))
+    };
+    Message {
+        start: format!("{} {} HTTP/1.1", param("REQUEST_METHOD"), param("REQUEST_URI")),
+        headers: r.params.iter().filter_map(header).collect(),
+        body: r.body.to_vec(),
+    }
+}
+
 /// A web server's side of a connection.
 pub struct WebServer {
     stream: TcpStream,
@@ -162,8 +189,9 @@
     /// Begins a request with these params; its id.
     pub fn send(&mut self, params: &[(&str, &str)], body: &[u8]) -> u16 {
         let all = params.iter().map(|(n, v)| (n.as_bytes(), v.as_bytes()));
-        let (id, parts) = self.client.begin(all, Bytes::copy_from_slice(body), true).expect("an id is free");
-        self.write(&parts.concat());
+        let id = self.client.begin(all, Bytes::copy_from_slice(body), true).expect("an id is free");
+        let bytes = self.client.drain();
+        self.write(&bytes);
         id
     }
 
@@ -175,9 +203,9 @@
 
     /// Calls a request off.
     pub fn abort(&mut self, id: u16) {
-        if let Some(record) = self.client.abort(id) {
-            self.write(&record);
-        }
+        self.client.abort(id);
+        let bytes = self.client.drain();
+        self.write(&bytes);
     }
 
     /// The next request that ends; `None`: the connection did before, or what came can't be read.
--- a/crates/testkit/src/upstream.rs
+++ b/crates/testkit/src/upstream.rs
@@ -83,12 +83,23 @@
     pub cold: Option<Cold>,
     /// Whether it speaks FastCGI, and not HTTP. What it is told to answer stays written as HTTP.
     pub fastcgi: bool,
+    /// Requests at once on a FastCGI connection; above 1 it says so when it is asked.
+    pub at_once: usize,
 }
 
 impl Options {
     /// One core, room for 64 that wait, group 0, warm, no ledger.
     pub fn named(name: &str) -> Options {
-        Options { name: name.into(), group: 0, ledger: None, cores: 1, queue: 64, cold: None, fastcgi: false }
+        Options {
+            name: name.into(),
+            group: 0,
+            ledger: None,
+            cores: 1,
+            queue: 64,
+            cold: None,
+            fastcgi: false,
+            at_once: 1,
+        }
     }
 }
 
@@ -307,9 +318,12 @@
     }
 }
 
-fn serve(stream: Arc<TcpStream>, at: &Shared) {
-    if at.options.fastcgi {
-        converse(crate::fastcgi::Responder::new(stream), at);
+fn serve(stream: Arc<TcpStream>, at: &Arc<Shared>) {
+    let requests = at.options.at_once;
+    if at.options.fastcgi && requests > 1 {
+        converse_at_once(crate::fastcgi::Responder::new(stream.clone(), requests), &stream, at);
+    } else if at.options.fastcgi {
+        converse(crate::fastcgi::Responder::new(stream, 1), at);
     } else {
         converse(Http(BufReader::new(Held(stream))), at);
     }
@@ -327,56 +341,73 @@
     }
 }
 
+/// Reads the next request and writes into the ledger that it begins.
+fn next(peer: &mut impl Speaks, at: &Shared) -> Option<Message> {
+    let begun = |head: &Message| {
+        let request = head.header("req-id").unwrap_or("").to_string();
+        at.write(|upstream| Entry::Begun { upstream, request });
+    };
+    if at.dead.load(Ordering::SeqCst) {
+        return None;
+    }
+    peer.read(begun)
+}
+
 fn converse(mut peer: impl Speaks, at: &Shared) {
-    while !at.dead.load(Ordering::SeqCst) {
-        let begun = |head: &Message| {
-            let request = head.header("req-id").unwrap_or("").to_string();
-            at.write(|upstream| Entry::Begun { upstream, request });
-        };
-        let Some(message) = peer.read(begun) else { break };
-        let request = message.header("req-id").unwrap_or("").to_string();
-        let then = (at.behaviour)(&message);
-        let executed = |work| {
-            let group = at.options.group;
-            at.write(|upstream| Entry::Executed { upstream, group, request, work });
-        };
-        let mut more = true;
-        let tell = || at.tell(Seen::Request(message));
-        if let Then::Work(time, text) = then {
-            tell();
-            let done = at.work(time, || executed(time));
-            // A process that died meanwhile answers nothing.
-            let dead = at.dead.load(Ordering::SeqCst);
-            let sent = if dead { Ok(()) } else { peer.write(if done { &text } else { DECLINED }, true) };
-            if dead || sent.is_err() {
-                break;
+    while next(&mut peer, at).is_some_and(|message| serve_one(&mut peer, message, at)) {}
+    drop(peer);
+    at.tell(Seen::Closed);
+}
+
+/// Each request in a thread of its own; one whose connection is to end ends it for all.
+fn converse_at_once(mut peer: crate::fastcgi::Responder, stream: &Arc<TcpStream>, at: &Arc<Shared>) {
+    while let Some(message) = next(&mut peer, at) {
+        let (mut peer, stream, at) = (peer.clone(), stream.clone(), at.clone());
+        thread::spawn(move || {
+            if !serve_one(&mut peer, message, &at) {
+                let _ = stream.shutdown(Shutdown::Both);
             }
-            continue;
-        }
-        // Before the answer is written: whoever reads it finds the books in order.
-        if then.executes() {
-            executed(Duration::ZERO);
-        }
+        });
+    }
+    drop(peer);
+    at.tell(Seen::Closed);
+}
+
+/// Does what it is told with one request; `false`: the connection ends.
+fn serve_one(peer: &mut impl Speaks, message: Message, at: &Shared) -> bool {
+    let request = message.header("req-id").unwrap_or("").to_string();
+    let then = (at.behaviour)(&message);
+    let executed = |work| {
+        let group = at.options.group;
+        at.write(|upstream| Entry::Executed { upstream, group, request, work });
+    };
+    let tell = || at.tell(Seen::Request(message));
+    if let Then::Work(time, text) = then {
         tell();
-        match then {
-            Then::Answer(text) => drop(peer.write(&text, true)),
-            Then::AnswerAndClose(text) => {
-                let _ = peer.write(&text, false);
-                more = false;
-            }
-            Then::Hang => more = false,
-            Then::Wait | Then::Work(..) => {}
-            Then::Hold(word, text) => {
-                let _ = word.recv_timeout(PATIENCE);
-                let _ = peer.write(&text, true);
-            }
+        let done = at.work(time, || executed(time));
+        // A process that died meanwhile answers nothing.
+        let dead = at.dead.load(Ordering::SeqCst);
+        return !dead && peer.write(if done { &text } else { DECLINED }, true).is_ok();
+    }
+    // Before the answer is written: whoever reads it finds the books in order.
+    if then.executes() {
+        executed(Duration::ZERO);
+    }
+    tell();
+    match then {
+        Then::Answer(text) => drop(peer.write(&text, true)),
+        Then::AnswerAndClose(text) => {
+            let _ = peer.write(&text, false);
+            return false;
         }
-        if !more {
-            break;
+        Then::Hang => return false,
+        Then::Wait | Then::Work(..) => {}
+        Then::Hold(word, text) => {
+            let _ = word.recv_timeout(PATIENCE);
+            let _ = peer.write(&text, true);
         }
     }
-    drop(peer);
-    at.tell(Seen::Closed);
+    true
 }
 
 /// An address that refuses connections.
