--- a/crates/hashing/src/lib.rs
+++ b/crates/hashing/src/lib.rs
@@ -1,6 +1,6 @@
 //! The one hash that has to be the same at every instance, in every version and after every restart: what is spread by
-//! it (upstreams over a ring, settings told apart) must not move when a program is built anew. Not for tables that
-//! callers fill: it is easily made to collide on purpose.
+//! it (upstreams over a ring, settings told apart) must not move when a program is built anew. [`stable`] is not for tables
+//! that callers fill: it is easily made to collide on purpose. [`keyed`] is for what outsiders see and must not guess.
 use std::hash::Hasher;
 
 /// The FNV-1a hash of 64 bits (draft-eastlake-fnv, section 4) of these bytes.
@@ -10,6 +10,13 @@
     hasher.finish()
 }
 
+/// The SipHash-2-4 of 64 bits (Aumasson and Bernstein, 2012) of these bytes under this secret, whatever its length: its
+/// key is the secret's own hash of 128 bits.
+pub fn keyed(secret: &[u8], bytes: &[u8]) -> u64 {
+    let key = siphasher::sip128::SipHasher24::new().hash(secret).as_bytes();
+    siphasher::sip::SipHasher24::new_with_key(&key).hash(bytes)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -24,4 +31,13 @@
             assert_eq!(stable(text.as_bytes()), wanted, "{text:?}");
         }
     }
+
+    /// Guards against another one: instances of two versions would not know each other's marks.
+    #[test]
+    fn the_keyed_one_depends_on_both_and_stays() {
+        let all = [keyed(b"a", b"x"), keyed(b"b", b"x"), keyed(b"a", b"y"), keyed(b"", b"x")];
+        assert!((0..4).all(|k| (0..k).all(|j| all[j] != all[k])));
+        // As it was when marks were first written.
+        assert_eq!(keyed(b"a", b"x"), 0x7c53ed62c51ebe08);
+    }
 }
--- a/crates/herondock/benches/decision.rs
+++ b/crates/herondock/benches/decision.rs
@@ -49,11 +49,7 @@
     for n in 0..REQUESTS {
         let now = f64::from(n) * GAP;
         let (id, class, tenant) = (RequestId(n), (n % 2) as usize, (n % 5) as usize);
-        balancer.handle(
-            now,
-            Event::Request(Request { id, class, tenant, deadline: now + 2500.0 }),
-            &mut actions,
-        );
+        balancer.handle(now, Event::Request(Request::plain(id, class, tenant, now + 2500.0)), &mut actions);
         while out.front().is_some_and(|&(at, _)| at <= now) {
             let Some((at, request)) = out.pop_front() else { break };
             let duration = now - at + ANSWER;
--- /dev/null
+++ b/crates/herondock/src/budget.rs
@@ -0,0 +1,90 @@
+//! Budgets as this program reads them: what the operator's file allows, the pool's mark, and what is said of loops.
+use crate::exchange::Carried;
+use crate::log::log;
+use budget::causes::Causes;
+use budget::path::{Mark, Path};
+use budget::{Bounds, Budget, Given, Untaken};
+use oakflow_settings::budget::{BudgetTable, FieldNames};
+use std::cell::RefCell;
+use std::fs::File;
+use std::io::Read;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// Largest file with a secret, in bytes.
+const SECRET_MOST: u64 = 4096;
+
+/// Which front a request came in by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// HTTP.
+    Http,
+    /// FastCGI.
+    FastCgi,
+}
+
+/// Budgets, where the operator's file turns them on.
+pub struct Budgets {
+    bounds: Bounds,
+    mark: Mark,
+    /// The fields.
+    pub names: Rc<FieldNames>,
+    trust_http: bool,
+    trust_fastcgi: bool,
+    said: RefCell<Causes>,
+    start: Instant,
+}
+
+impl Budgets {
+    /// `None`: they are off.
+    ///
+    /// # Errors
+    /// The secret can't be read.
+    pub fn of(table: &BudgetTable) -> Result<Option<Rc<Budgets>>, String> {
+        let Some(pool) = &table.pool else { return Ok(None) };
+        let mut secret = Vec::new();
+        if let Some(path) = &table.secret_file {
+            let fault = |e| format!("budget.secret_file: {}: {e}", path.display());
+            File::open(path).and_then(|f| f.take(SECRET_MOST).read_to_end(&mut secret)).map_err(fault)?;
+        }
+        Ok(Some(Rc::new(Budgets {
+            bounds: Bounds { retries: table.retries, hops: table.hops, repeat_worth: table.repeat_worth },
+            mark: Mark::new(secret.trim_ascii(), pool),
+            names: Rc::new(table.names.clone()),
+            trust_http: table.trust_http,
+            trust_fastcgi: table.trust_fastcgi,
+            said: RefCell::default(),
+            start: Instant::now(),
+        })))
+    }
+
+    /// What a request may use that came in here with these values of the budget's and the path's fields.
+    ///
+    /// # Errors
+    /// Why it is not taken. A loop is said in the log, once for each place that it comes from.
+    pub fn carried(
+        &self,
+        side: Side,
+        (budget, path): (&[&[u8]], &[&[u8]]),
+        patience: f64,
+        repeated: bool,
+    ) -> Result<Carried, Untaken> {
+        let trusted = match side {
+            Side::Http => self.trust_http,
+            Side::FastCgi => self.trust_fastcgi,
+        };
+        let given = Given { budget, path, patience, repeated, trusted };
+        match Budget::of(&given, &self.bounds, &self.mark) {
+            Ok(budget) => Ok(Carried { budget, names: self.names.clone() }),
+            Err(Untaken::Refused(why)) => {
+                let cause = format!("{why}; it came from {}", Path::last(path));
+                let now = self.start.elapsed().as_secs_f64() * 1000.0;
+                if let Some(n) = self.said.borrow_mut().came(&cause, now) {
+                    log!("refused: {cause} ({n} times)");
+                }
+                Err(Untaken::Refused(why))
+            }
+            Err(bad) => Err(bad),
+        }
+    }
+}
--- a/crates/herondock/src/driver.rs
+++ b/crates/herondock/src/driver.rs
@@ -1,9 +1,11 @@
 //! The one owner of the decision module: feeds it events in order, carries out its actions, keeps its clock,
 //! its timers and the ids of requests and attempts. Nothing is decided here, and no protocol is known.
-use crate::exchange::{Answer, Attempt, Gate, Request, Upstream};
+use crate::exchange::{Answer, Attempt, Final, Gate, Hop, Request, Upstream};
 use crate::log::log;
 use crate::members::{Audience, Entry, Listing};
 use crate::sockets::Sockets;
+use budget::hearing::Hearing;
+use budget::purse::{Purse, Told, Used};
 use bytes::Bytes;
 use oakflow::{
     Action, Availability, Balancer, Ending, Event, Learned, Membership, Millis, RequestId, UpstreamId,
@@ -34,19 +36,32 @@
 
 struct Open {
     /// Taken when the final answer is given or the client is gone.
-    reply: Option<oneshot::Sender<Answer>>,
+    reply: Option<oneshot::Sender<Final>>,
     out: Rc<Request>,
     deadline: Millis,
     sends: u32,
     running: u32,
+    /// Whether an attempt that has ended may have run.
+    ran: bool,
+    /// Its repeats, where budgets are on.
+    purse: Option<Purse>,
 }
 
 impl Open {
     /// The way to the client, once; the request is over with it.
-    fn end(&mut self) -> Option<oneshot::Sender<Answer>> {
+    fn end(&mut self) -> Option<oneshot::Sender<Final>> {
         self.out.over.set(true);
         self.reply.take()
     }
+
+    /// Gives the final answer, unless it was given.
+    fn answer(&mut self, answer: Answer) -> bool {
+        let Some(reply) = self.end() else { return false };
+        let used = self.purse.as_ref().map_or(Used::default(), Purse::used);
+        // A client that left in the same instant gets nothing; it is no longer owed anything.
+        let _ = reply.send(Final { answer, ran: self.ran || self.running > 0, used });
+        true
+    }
 }
 
 /// An attempt that is out.
@@ -55,6 +70,7 @@
     sent: Instant,
     task: AbortHandle,
     due: (Instant, u64),
+    hop: Rc<Hop>,
 }
 
 enum Due {
@@ -69,6 +85,8 @@
     gate: Rc<Gate>,
     /// Its newest line.
     entry: Entry,
+    /// Whether it tells what was used below it.
+    hearing: Hearing,
 }
 
 /// Chooses the transport for an upstream by what it speaks.
@@ -82,6 +100,7 @@
     sockets: Sockets,
     drain_grace: Duration,
     max_open: usize,
+    late_shedding: bool,
     /// Every request has its answer by then.
     last: Millis,
     next_id: u32,
@@ -140,20 +159,23 @@
     pub drain_grace: Duration,
     /// Most requests open at once.
     pub max_open: usize,
+    /// Whether upstreams also turn away what they had begun.
+    pub late_shedding: bool,
 }
 
 /// A request that waits for its final answer. Dropping it tells the module that the client is gone.
 pub struct Waiting {
     handle: Handle,
     id: RequestId,
-    answer: oneshot::Receiver<Answer>,
+    answer: oneshot::Receiver<Final>,
     done: bool,
 }
 
 impl Waiting {
     /// The final answer.
-    pub async fn answer(mut self) -> Answer {
-        let answer = (&mut self.answer).await.unwrap_or(Answer::Failed);
+    pub async fn answer(mut self) -> Final {
+        let lost = |_| Final { answer: Answer::Failed, ran: true, used: Used::default() };
+        let answer = (&mut self.answer).await.unwrap_or_else(lost);
         self.done = true;
         answer
     }
@@ -170,7 +192,8 @@
 impl Handle {
     /// Sets the driver up; [`Handle::run`] must run for its timers to fire.
     pub fn new(parts: Parts) -> Handle {
-        let Parts { balancer, start, start_ms, transports, sockets, drain_grace, max_open } = parts;
+        let Parts { balancer, start, start_ms, transports, sockets, drain_grace, max_open, late_shedding } =
+            parts;
         let driver = Driver {
             balancer,
             start,
@@ -179,6 +202,7 @@
             sockets,
             drain_grace,
             max_open,
+            late_shedding,
             last: f64::INFINITY,
             next_id: 0,
             open: HashMap::new(),
@@ -247,10 +271,7 @@
     pub fn fail_open(&self) {
         let open: Vec<RequestId> = {
             let mut d = self.0.driver.borrow_mut();
-            let open = d.open.iter_mut().filter_map(|(&id, o)| {
-                // A client that left in the same instant gets nothing; it is no longer owed anything.
-                o.end().map(|reply| drop(reply.send(Answer::Failed))).map(|()| id)
-            });
+            let open = d.open.iter_mut().filter_map(|(&id, o)| o.answer(Answer::Failed).then_some(id));
             open.collect()
         };
         for id in open {
@@ -292,7 +313,7 @@
         out: Request,
     ) -> Result<Waiting, Untaken> {
         let (reply, answer) = oneshot::channel();
-        let (id, deadline) = {
+        let (id, deadline, given) = {
             let mut d = self.0.driver.borrow_mut();
             if d.open.len() >= d.max_open {
                 return Err(Untaken::Full);
@@ -308,11 +329,15 @@
             let id = RequestId(d.next_id);
             d.next_id = d.next_id.wrapping_add(1);
             let deadline = (d.now() + (patience - ANSWER_MARGIN).max(0.0)).min(d.last);
-            let open = Open { reply: Some(reply), out: Rc::new(out), deadline, sends: 0, running: 0 };
+            let given = out.budget.as_ref().map(|carried| (carried.budget.retries, carried.budget.worth));
+            let purse = given.map(|(retries, _)| Purse::new(retries));
+            let out = Rc::new(out);
+            let open = Open { reply: Some(reply), out, deadline, sends: 0, running: 0, ran: false, purse };
             d.open.insert(id, open);
-            (id, deadline)
+            (id, deadline, given)
         };
-        self.feed(Event::Request(oakflow::Request { id, class, tenant, deadline }));
+        let (retries, worth) = given.unwrap_or((u32::MAX, 1.0));
+        self.feed(Event::Request(oakflow::Request { id, class, tenant, deadline, retries, worth }));
         Ok(Waiting { handle: self.clone(), id, answer, done: false })
     }
 
@@ -380,8 +405,9 @@
         let Some(open) = d.open.get_mut(&id) else { return };
         let number = open.sends;
         open.sends += 1;
-        let target = d.upstreams.get(&to).map(|known| (known.upstream.clone(), known.gate.clone()));
-        let (Some((target, gate)), true) = (target, open.reply.is_some()) else {
+        let target = d.upstreams.get(&to);
+        let target = target.map(|k| (k.upstream.clone(), k.gate.clone(), k.hearing.tells()));
+        let (Some((target, gate, tells)), true) = (target, open.reply.is_some()) else {
             let closed = open.reply.is_none();
             let ending = Ending::Moot;
             d.events.push_back(Event::Outcome {
@@ -397,7 +423,10 @@
         let wait = if timeout > 0.0 { timeout.min(left) } else { left };
         let until = now + Duration::from_secs_f64(wait / 1000.0);
         open.running += 1;
-        let (attempt, handle) = (Attempt { request: open.out.clone(), gate, until }, self.clone());
+        let grant = open.purse.as_mut().map_or(0, |purse| purse.send(number, tells));
+        let hop = Rc::new(Hop { grant, ..Hop::default() });
+        let attempt = Attempt { request: open.out.clone(), gate, until, hop: hop.clone() };
+        let handle = self.clone();
         if target.oldest_idle().is_none() && d.sockets.exhausted() {
             d.free_socket();
         }
@@ -406,7 +435,7 @@
             handle.ended(id, number, ending, answer);
         });
         let due = d.set_timer(until, Due::Attempt(id, number));
-        let attempt = Out { upstream: to, sent: now, task: task.abort_handle(), due };
+        let attempt = Out { upstream: to, sent: now, task: task.abort_handle(), due, hop };
         d.attempts.insert((id, number), attempt);
         self.0.timers.notify_one();
     }
@@ -432,11 +461,30 @@
         self.forget_upstream(attempt.upstream);
         let duration = attempt.sent.elapsed().as_secs_f64() * 1000.0;
         let mut closed = true;
+        let told = attempt.hop.told.get();
+        if matches!(ending, Ending::Ok | Ending::Error | Ending::Full) {
+            if let Some(known) = self.upstreams.get_mut(&attempt.upstream) {
+                known.hearing.answered(told.is_some());
+            }
+        }
+        let never_ran = ending.never_ran() && !(ending == Ending::Full && self.late_shedding);
         if let Some(open) = self.open.get_mut(&id) {
             open.running -= 1;
-            if let Some((reply, answer)) = answer.and_then(|a| Some((open.end()?, a))) {
-                // A client that left in the same instant gets nothing; it is no longer owed anything.
-                let _ = reply.send(answer);
+            open.ran |= !never_ran;
+            if let Some(purse) = &mut open.purse {
+                purse.ended(
+                    number,
+                    match told {
+                        Some(used) => Told::Used(used),
+                        None if never_ran => Told::NeverRan,
+                        None => Told::Nothing,
+                    },
+                );
+                // Before the outcome, by which the module decides whether to try again.
+                self.events.push_back(Event::Left { request: id, retries: purse.left() });
+            }
+            if let Some(answer) = answer {
+                open.answer(answer);
             }
             closed = open.reply.is_none();
         }
@@ -445,9 +493,8 @@
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
-        if let Some(reply) = self.open.get_mut(&id).and_then(Open::end) {
-            // A client that left in the same instant gets nothing; it is no longer owed anything.
-            let _ = reply.send(answer);
+        if let Some(open) = self.open.get_mut(&id) {
+            open.answer(answer);
         }
         self.forget(id);
     }
@@ -490,6 +537,7 @@
                 upstream: (self.transports)(entry),
                 gate: Rc::default(),
                 entry: entry.clone(),
+                hearing: Hearing::default(),
             });
             // Another address or another start: the old connections lead nowhere.
             if known.entry.addr != entry.addr || known.entry.member.since != m.since {
--- a/crates/herondock/src/exchange.rs
+++ b/crates/herondock/src/exchange.rs
@@ -3,8 +3,12 @@
 //! Nothing here belongs to a protocol, and nothing here is decided: a front turns its protocol's messages into a
 //! [`Request`] and an [`Answer`] back into them, the driver numbers and times, and a transport carries one
 //! [`Attempt`] out in the protocol of its upstream.
+use budget::grammar;
+use budget::purse::Used;
+use budget::Budget;
 use bytes::{BufMut, Bytes, BytesMut};
 use oakflow::{Ending, Millis};
+use oakflow_settings::budget::FieldNames;
 use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -75,10 +79,32 @@
     pub fields: Fields,
     /// The whole body.
     pub body: Bytes,
+    /// What it may still use, where budgets are on.
+    pub budget: Option<Carried>,
     /// Set when the request has ended: what has not been written for it by then must not be.
     pub over: Cell<bool>,
 }
 
+/// A budget, and the fields in which it is carried on.
+#[derive(Clone, Debug)]
+pub struct Carried {
+    /// What the request may use.
+    pub budget: Budget,
+    /// Names of the fields.
+    pub names: Rc<FieldNames>,
+}
+
+/// The one final answer to a request, with what its caller may be told besides.
+#[derive(Debug)]
+pub struct Final {
+    /// The answer.
+    pub answer: Answer,
+    /// Whether an attempt may have run.
+    pub ran: bool,
+    /// What was used of its budget.
+    pub used: Used,
+}
+
 /// The one final answer to a request.
 #[derive(Debug)]
 pub enum Answer {
@@ -125,7 +151,17 @@
     }
 }
 
+/// What an attempt carries of its request's budget, and what its answer told.
+#[derive(Debug, Default)]
+pub struct Hop {
+    /// Repeats that what is below may use.
+    pub grant: u32,
+    /// What it used, where the answer said so.
+    pub told: Cell<Option<Used>>,
+}
+
 /// One request to one upstream, once.
+#[derive(Clone)]
 pub struct Attempt {
     /// The request.
     pub request: Rc<Request>,
@@ -133,9 +169,32 @@
     pub gate: Rc<Gate>,
     /// When it is given up.
     pub until: Instant,
+    /// Its part of the budget.
+    pub hop: Rc<Hop>,
 }
 
 impl Attempt {
+    /// The fields of the budget, to be written with the request: what is left of the time counts from now, so that no
+    /// clock is passed on.
+    pub fn carried(&self, now: Instant) -> Option<[(&str, String); 2]> {
+        let Carried { budget, names } = self.request.budget.as_ref()?;
+        let left = self.until.saturating_duration_since(now).as_secs_f64() * 1000.0;
+        let value = grammar::write_budget(left, self.hop.grant, budget.worth);
+        Some([(&names.budget, value), (&names.path, budget.path.text().into())])
+    }
+
+    /// Takes note of what an answer tells, given its field of this name; the field goes no further.
+    pub fn answered<'a>(&self, field: impl FnOnce(&str) -> Option<&'a [u8]>) {
+        if let Some(carried) = &self.request.budget {
+            self.hop.told.set(field(&carried.names.used).and_then(grammar::read_used));
+        }
+    }
+
+    /// The name of the field that tells what was used, where budgets are on.
+    pub fn used_field(&self) -> Option<&str> {
+        self.request.budget.as_ref().map(|carried| carried.names.used.as_str())
+    }
+
     /// Whether its first byte may be written now. A transport asks right before it writes: what was decided before
     /// dialling must not go out once the upstream's grace, the attempt's time or the request itself is over.
     pub fn may_be_written(&self, now: Instant) -> bool {
--- a/crates/herondock/src/front/fastcgi.rs
+++ b/crates/herondock/src/front/fastcgi.rs
@@ -5,12 +5,16 @@
 //! end of the connection, calls off what is out.
 use super::classify::{classify, Class, Field, Given, KEY};
 use super::{Course, Phase};
-use crate::driver::{Handle, Untaken};
-use crate::exchange::{Answer, Fields, Method, Request};
-use crate::http::belongs_to_a_hop;
+use crate::budget::{Budgets, Side};
+use crate::driver::{Handle, Untaken, Waiting};
+use crate::exchange::{Answer, Fields, Final, Method, Request};
+use crate::http::{belongs_to_a_hop, DECLINED, REPEATED};
 use crate::live::Live;
 use crate::log::log;
 use crate::sockets::Sockets;
+use budget::grammar::write_used;
+use budget::purse::Used;
+use budget::Untaken as NotTaken;
 use bytes::{Buf, Bytes, BytesMut};
 use fastcgi::pairs::Pair;
 use fastcgi::server::{self, Event, Server as Machine};
@@ -55,6 +59,8 @@
     pub limits: Live<Limits>,
     /// How far the end of the program has come.
     pub course: watch::Receiver<Course>,
+    /// Budgets, where they are on.
+    pub budgets: Option<Rc<Budgets>>,
     /// Its listeners.
     pub doors: Vec<Door>,
 }
@@ -67,6 +73,7 @@
     sockets: Sockets,
     limits: Live<Limits>,
     course: watch::Receiver<Course>,
+    budgets: Option<Rc<Budgets>>,
     /// Its listeners, to be passed on; those that are accepted on are their clones.
     doors: RefCell<Vec<Door>>,
 }
@@ -190,9 +197,9 @@
 impl Server {
     /// A front that does not accept yet.
     pub fn new(parts: Parts) -> Rc<Server> {
-        let Parts { driver, deployment, settings, sockets, limits, course, doors } = parts;
+        let Parts { driver, deployment, settings, sockets, limits, course, budgets, doors } = parts;
         let doors = RefCell::new(doors);
-        Rc::new(Server { driver, deployment, settings, sockets, limits, course, doors })
+        Rc::new(Server { driver, deployment, settings, sockets, limits, course, budgets, doors })
     }
 
     /// Accepts until the program drains, or another process does.
@@ -342,7 +349,7 @@
                                 tasks.open.insert(turn.0, (turn.1, task));
                             }
                             Event::Bad(id, status, why) => {
-                                machine.answer(id, &head(status, None, &Fields::default()), format!("{why}\n").into());
+                                machine.answer(id, &head(status), format!("{why}\n").into());
                             }
                             Event::Aborted(id) => {
                                 if let Some((_, task)) = tasks.open.remove(&id) {
@@ -375,27 +382,40 @@
 
     async fn request(self: Rc<Server>, request: server::Request, turn: Turn, tell: mpsc::Sender<Answered>) {
         let (head, body) = match self.take(request) {
-            Ok(waiting) => match waiting.answer().await {
-                Answer::Served { fields, body } => (head(200, None, &fields), body),
-                Answer::Refused { retry_after } => {
-                    (head(503, Some(retry_after), &Fields::default()), Bytes::new())
+            Ok((waiting, told)) => {
+                let Final { answer, ran, used } = waiting.answer().await;
+                let harmless = matches!(answer, Answer::Refused { .. }) && !ran;
+                let more = self.more(told.then_some(used), harmless);
+                match answer {
+                    Answer::Served { fields, body } => (head_with(200, None, &fields, &more), body),
+                    Answer::Refused { retry_after } => {
+                        (head_with(503, Some(retry_after), &Fields::default(), &more), Bytes::new())
+                    }
+                    Answer::Unusable(status) => {
+                        (head_with(status, None, &Fields::default(), &more), Bytes::new())
+                    }
+                    Answer::Failed => (head_with(502, None, &Fields::default(), &more), Bytes::new()),
                 }
-                Answer::Unusable(status) => (head(status, None, &Fields::default()), Bytes::new()),
-                Answer::Failed => (head(502, None, &Fields::default()), Bytes::new()),
-            },
-            Err((status, Some(pause), _)) => (head(status, Some(pause), &Fields::default()), Bytes::new()),
-            Err((status, None, why)) => {
-                (head(status, None, &Fields::default()), Bytes::from(format!("{why}\n")))
+            }
+            Err(Turned { status, pause, why, more }) => {
+                let text = if why.is_empty() { Bytes::new() } else { Bytes::from(format!("{why}\n")) };
+                (head_with(status, pause, &Fields::default(), &more), text)
             }
         };
         // The connection may have ended meanwhile.
         let _ = tell.send((turn, head, body)).await;
     }
 
-    fn take(
-        &self,
-        request: server::Request,
-    ) -> Result<crate::driver::Waiting, (u16, Option<f64>, &'static str)> {
+    /// What is said besides an answer: what was used of a budget, and that nothing ran where that is certain.
+    fn more(&self, used: Option<Used>, nothing_ran: bool) -> Vec<(String, String)> {
+        let Some(budgets) = &self.budgets else { return Vec::new() };
+        let declined = nothing_ran.then(|| (DECLINED.as_str().to_string(), "1".to_string()));
+        let used = used.map(|used| (budgets.names.used.clone(), write_used(used)));
+        declined.into_iter().chain(used).collect()
+    }
+
+    /// Hands a request to the driver. Whether its caller is told what was used.
+    fn take(&self, request: server::Request) -> Result<(Waiting, bool), Turned> {
         let limits = self.limits.get();
         let names = &self.settings.names;
         let param = |name: &str| only(&request.params, name);
@@ -407,7 +427,7 @@
             get: method == "GET",
             post: method == "POST",
         };
-        let bad = |why| (400, None, why);
+        let bad = |why: &str| Turned { status: 400, pause: None, why: why.into(), more: Vec::new() };
         let class = classify(&self.deployment, limits.request_id, &given).map_err(bad)?;
         let Class { class, tenant, patience, method } = class;
         if method == Method::Get && !request.body.is_empty() {
@@ -418,18 +438,59 @@
         if length.is_some_and(|l| l.parse() != Ok(request.body.len())) {
             return Err(bad("the body has another length than CONTENT_LENGTH"));
         }
-        let target = target(&param).ok_or(bad("REQUEST_URI is bad"))?;
+        let target = target(&param).ok_or_else(|| bad("REQUEST_URI is bad"))?;
+        let budget = match &self.budgets {
+            None => None,
+            Some(budgets) => {
+                let all = |name: &str| -> Vec<&[u8]> {
+                    let name = param_of(name);
+                    request.params.iter().filter(|(n, _)| n == name.as_bytes()).map(|(_, v)| &v[..]).collect()
+                };
+                let (budget, path) = (all(&budgets.names.budget), all(&budgets.names.path));
+                let repeated = param(&param_of(REPEATED.as_str())) == Some("1");
+                let carried = budgets.carried(Side::FastCgi, (&budget, &path), patience, repeated);
+                Some(carried.map_err(|why| match why {
+                    NotTaken::Bad(why) => bad(&why.to_string()),
+                    NotTaken::Refused(why) => Turned {
+                        status: 503,
+                        pause: None,
+                        why: why.to_string(),
+                        more: self.more(Some(Used { retries: 0, stop: Some(why.stop()) }), true),
+                    },
+                })?)
+            }
+        };
+        let told = budget.as_ref().is_some_and(|carried| carried.budget.told);
+        let own: Vec<String> = match &self.budgets {
+            None => Vec::new(),
+            Some(b) => [&b.names.budget, &b.names.path, &b.names.used].map(|name| param_of(name)).into(),
+        };
         let out = Request {
             name: param(&names.id).map(|id| Bytes::copy_from_slice(id.as_bytes())),
             method,
             target: target.into(),
-            fields: fields(&request.params, names),
+            fields: fields(
+                request.params.iter().filter(|(n, _)| !own.iter().any(|o| n == o.as_bytes())),
+                names,
+            ),
             body: request.body.clone(),
+            budget,
             over: Cell::new(false),
         };
-        self.driver.take(class, tenant, patience, out).map_err(|untaken| match untaken {
-            Untaken::Full => (503, Some(limits.full_pause.as_secs_f64() * 1000.0), ""),
-            Untaken::Known => (409, None, "a request with this id is open"),
+        let taken = self.driver.take(class, tenant, patience, out);
+        taken.map(|waiting| (waiting, told)).map_err(|untaken| match untaken {
+            Untaken::Full => Turned {
+                status: 503,
+                pause: Some(limits.full_pause.as_secs_f64() * 1000.0),
+                why: String::new(),
+                more: self.more(None, true),
+            },
+            Untaken::Known => Turned {
+                status: 409,
+                pause: None,
+                why: "a request with this id is open".into(),
+                more: Vec::new(),
+            },
         })
     }
 }
@@ -469,7 +530,7 @@
 }
 
 /// The end-to-end fields of a request: what its params took from headers, and its id and key by their own names.
-fn fields(params: &[Pair], names: &Names) -> Fields {
+fn fields<'a>(params: impl Iterator<Item = &'a Pair>, names: &Names) -> Fields {
     let text = |b: &Bytes| std::str::from_utf8(b).ok().map(String::from);
     let field = |(name, value): &Pair| {
         let name = text(name)?;
@@ -486,12 +547,30 @@
         let kept = !belongs_to_a_hop(own.as_bytes()) && !value.is_empty();
         kept.then(|| (own, value.clone()))
     };
-    let all: Vec<(String, Bytes)> = params.iter().filter_map(field).collect();
+    let all: Vec<(String, Bytes)> = params.filter_map(field).collect();
     Fields::new(all.iter().map(|(name, value)| (name.as_str(), &value[..])))
 }
 
+/// The param that stands for a header (RFC 3875, section 4.1.18).
+fn param_of(header: &str) -> String {
+    format!("HTTP_{}", header.replace('-', "_").to_ascii_uppercase())
+}
+
+/// A request that was not taken, and its answer.
+struct Turned {
+    status: u16,
+    pause: Option<f64>,
+    why: String,
+    more: Vec<(String, String)>,
+}
+
+/// The head of an answer that turns a request away.
+fn head(status: u16) -> Bytes {
+    head_with(status, None, &Fields::default(), &[])
+}
+
 /// The head of an answer, as a responder writes it.
-fn head(status: u16, retry_after: Option<f64>, fields: &Fields) -> Bytes {
+fn head_with(status: u16, retry_after: Option<f64>, fields: &Fields, more: &[(String, String)]) -> Bytes {
     let reason =
         hyper::StatusCode::from_u16(status).ok().and_then(|s| s.canonical_reason()).unwrap_or("Answered");
     let mut text = format!("Status: {status} {reason}\r\n");
@@ -499,6 +578,9 @@
         // Writing to a string can't fail.
         let _ = write!(text, "Retry-After: {:.3}\r\n", after / 1000.0);
     }
+    for (name, value) in more {
+        let _ = write!(text, "{name}: {value}\r\n");
+    }
     let mut out = BytesMut::from(text.as_bytes());
     for (name, value) in fields.iter() {
         out.extend_from_slice(name);
--- a/crates/herondock/src/front/http.rs
+++ b/crates/herondock/src/front/http.rs
@@ -2,17 +2,21 @@
 use super::classify::{classify, Class, Field, Given, KEY};
 use super::watched::{Watch, Watched};
 use super::{Course, Phase};
+use crate::budget::{Budgets, Side};
 use crate::driver::{Handle, Untaken, Waiting};
-use crate::exchange::{Answer, Method, Request};
-use crate::http::{fields, headers, DEADLINE};
+use crate::exchange::{Answer, Carried, Final, Method, Request};
+use crate::http::{fields, headers, DEADLINE, DECLINED, REPEATED};
 use crate::live::Live;
 use crate::log::log;
 use crate::sockets::{Places, Sockets};
 use crate::stream::Shared;
+use budget::grammar::write_used;
+use budget::purse::Used;
+use budget::Untaken as NotTaken;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderValue};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
@@ -56,6 +60,7 @@
     sockets: Sockets,
     limits: Live<Limits>,
     course: watch::Receiver<Course>,
+    budgets: Option<Rc<Budgets>>,
     /// Connections between requests and how to close them, those that never asked for anything first, and among
     /// these the one that rested longest.
     idle: RefCell<BTreeMap<Place, (Instant, Rc<Notify>)>>,
@@ -63,17 +68,32 @@
     turn: Cell<u64>,
 }
 
+/// Marks an answer to a request whose body was not read.
+#[derive(Clone, Copy)]
+struct Unread;
+
+/// What a front is built from.
+pub struct Parts {
+    /// The driver.
+    pub driver: Handle,
+    /// The settings.
+    pub deployment: Deployment,
+    /// All descriptors; callers have what it leaves them.
+    pub sockets: Sockets,
+    /// Sizes and waits.
+    pub limits: Live<Limits>,
+    /// How far the end of the program has come.
+    pub course: watch::Receiver<Course>,
+    /// Budgets, where they are on.
+    pub budgets: Option<Rc<Budgets>>,
+}
+
 impl Server {
-    /// Serves callers through `driver`, on what `sockets` leaves.
-    pub fn new(
-        driver: Handle,
-        deployment: Deployment,
-        sockets: Sockets,
-        limits: Live<Limits>,
-        course: watch::Receiver<Course>,
-    ) -> Rc<Server> {
+    /// A front that does not accept yet.
+    pub fn new(parts: Parts) -> Rc<Server> {
+        let Parts { driver, deployment, sockets, limits, course, budgets } = parts;
         let (idle, turn) = (RefCell::default(), Cell::new(0));
-        Rc::new(Server { driver, deployment, sockets, limits, course, idle, turn })
+        Rc::new(Server { driver, deployment, sockets, limits, course, budgets, idle, turn })
     }
 
     /// Notes that a connection is between requests, `used` once it has carried one. Its number is to be taken
@@ -246,14 +266,20 @@
             READY => plain(StatusCode::SERVICE_UNAVAILABLE),
             path if path == SERVICE || path.starts_with("/api/") => {
                 let due = watch.since.get() + self.limits.get().request_wait;
-                match self.take(request, due).await {
-                    Ok(waiting) => final_answer(waiting.answer().await),
+                match self.take(request, due, watch.first.get()).await {
+                    Ok((waiting, told)) => {
+                        let Final { answer, ran, used } = waiting.answer().await;
+                        let harmless = matches!(answer, Answer::Refused { .. }) && !ran;
+                        let mut response = final_answer(answer);
+                        self.tell(&mut response, told.then_some(used), harmless);
+                        response
+                    }
                     Err(response) => response,
                 }
             }
             _ => plain(StatusCode::NOT_FOUND),
         };
-        let refused = response.status().is_client_error();
+        let refused = response.status().is_client_error() || response.extensions().get::<Unread>().is_some();
         link.refused.set(refused);
         // At the end of the program what has been sent behind this request is still answered.
         let leaving = self.course.borrow().phase >= Phase::Closing && !watch.more() && link.stream.quiet();
@@ -270,12 +296,45 @@
         course.phase == Phase::Up || course.handed_over
     }
 
-    /// Reads a request whole and hands it to the driver.
+    /// Says what was used of a budget, and that nothing ran where that is certain: whoever stands above may then try
+    /// elsewhere.
+    fn tell(&self, response: &mut Response<Full<Bytes>>, used: Option<Used>, nothing_ran: bool) {
+        let Some(budgets) = &self.budgets else { return };
+        if nothing_ran {
+            response.headers_mut().insert(DECLINED, HeaderValue::from_static("1"));
+        }
+        let name = HeaderName::try_from(&budgets.names.used);
+        if let (Some(used), Ok(name)) = (used, name) {
+            if let Ok(value) = HeaderValue::try_from(write_used(used)) {
+                response.headers_mut().insert(name, value);
+            }
+        }
+    }
+
+    /// What a request may use; or the answer to one that goes no further.
+    fn budget(&self, headers: &HeaderMap, patience: f64) -> Result<Option<Carried>, Response<Full<Bytes>>> {
+        let Some(budgets) = &self.budgets else { return Ok(None) };
+        let all =
+            |name: &str| -> Vec<&[u8]> { headers.get_all(name).iter().map(HeaderValue::as_bytes).collect() };
+        let (budget, path) = (all(&budgets.names.budget), all(&budgets.names.path));
+        let repeated = headers.get(REPEATED).is_some_and(|v| v == "1");
+        budgets.carried(Side::Http, (&budget, &path), patience, repeated).map(Some).map_err(|why| match why {
+            NotTaken::Bad(bad) => refuse_input(StatusCode::BAD_REQUEST, &bad.to_string()),
+            NotTaken::Refused(why) => {
+                let mut response = refuse_input(StatusCode::SERVICE_UNAVAILABLE, &why.to_string());
+                self.tell(&mut response, Some(Used { retries: 0, stop: Some(why.stop()) }), true);
+                response
+            }
+        })
+    }
+
+    /// Reads a request whole and hands it to the driver. Whether its caller is told what was used.
     async fn take(
         &self,
         request: hyper::Request<Incoming>,
         due: Instant,
-    ) -> Result<Waiting, Response<Full<Bytes>>> {
+        first: Instant,
+    ) -> Result<(Waiting, bool), Response<Full<Bytes>>> {
         let (head, body) = request.into_parts();
         let limits = self.limits.get();
         let bad = |what: &str| refuse_input(StatusCode::BAD_REQUEST, what);
@@ -293,6 +352,13 @@
         let id_most = limits.request_id;
         let Class { class, tenant, patience, method } =
             classify(&self.deployment, id_most, &given).map_err(bad)?;
+        // Before its body has come: what goes no further is answered at once.
+        let mut budget = self.budget(&head.headers, patience).map_err(|mut response| {
+            if !body.is_end_stream() {
+                response.extensions_mut().insert(Unread);
+            }
+            response
+        })?;
         if body.size_hint().lower() > limits.body as u64 {
             return Err(refuse_input(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
         }
@@ -307,15 +373,29 @@
             Ok(Err(_)) => return Err(bad("the body is broken")),
             Err(_) => return Err(refuse_input(StatusCode::REQUEST_TIMEOUT, "the body did not come")),
         };
+        // What its way here took, as far as it can be seen: no clock of another machine's is needed for it.
+        let patience = budget.as_mut().map_or(patience, |carried| {
+            let left = patience - first.elapsed().as_secs_f64() * 1000.0;
+            carried.budget.left = left.max(0.0);
+            carried.budget.left
+        });
+        let told = budget.as_ref().is_some_and(|carried| carried.budget.told);
+        let mut except = vec![DEADLINE];
+        if let Some(Carried { names, .. }) = &budget {
+            except
+                .extend([&names.budget, &names.path, &names.used].into_iter().flat_map(HeaderName::try_from));
+        }
         let request = Request {
             name: head.headers.get("req-id").map(|id| Bytes::copy_from_slice(id.as_bytes())),
             method,
             target: head.uri.path_and_query().map_or("/", |p| p.as_str()).into(),
-            fields: fields(&head.headers, &[DEADLINE]),
+            fields: fields(&head.headers, &except),
             body,
+            budget,
             over: Cell::new(false),
         };
-        self.driver.take(class, tenant, patience, request).map_err(|untaken| match untaken {
+        let taken = self.driver.take(class, tenant, patience, request);
+        taken.map(|waiting| (waiting, told)).map_err(|untaken| match untaken {
             Untaken::Full => {
                 final_answer(Answer::Refused { retry_after: limits.full_pause.as_secs_f64() * 1000.0 })
             }
--- a/crates/herondock/src/front/watched.rs
+++ b/crates/herondock/src/front/watched.rs
@@ -22,6 +22,8 @@
     pub midway: Cell<bool>,
     /// Since when the caller is waited for: its connection, the first byte of a head, or the last answer.
     pub since: Cell<Instant>,
+    /// When the first byte of the last head came.
+    pub first: Cell<Instant>,
     /// The head, by number from 1, whose body has no one end: it states its length in two ways.
     pub ambiguous: Cell<Option<u64>>,
 }
@@ -34,6 +36,7 @@
             given: Cell::new(0),
             midway: Cell::new(false),
             since: Cell::new(Instant::now()),
+            first: Cell::new(Instant::now()),
             ambiguous: Cell::new(None),
         })
     }
@@ -90,8 +93,12 @@
             // Empty lines before a request are allowed.
             let blank = bytes.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
             bytes = &bytes[blank..];
-            if !bytes.is_empty() && self.watch.given.get() > 0 {
-                self.watch.since.set(Instant::now());
+            if !bytes.is_empty() {
+                let now = Instant::now();
+                self.watch.first.set(now);
+                if self.watch.given.get() > 0 {
+                    self.watch.since.set(now);
+                }
             }
         }
         if self.head.capacity() == 0 && !bytes.is_empty() {
--- a/crates/herondock/src/http.rs
+++ b/crates/herondock/src/http.rs
@@ -5,6 +5,12 @@
 /// Tells how long a request will be waited for.
 pub const DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
 
+/// Marks an answer to what was turned away: it never ran.
+pub const DECLINED: HeaderName = HeaderName::from_static("srv-declined");
+
+/// Marks a caller's own repeat.
+pub const REPEATED: HeaderName = HeaderName::from_static("req-retry");
+
 /// Headers that belong to one connection and are not passed on.
 const HOP: [HeaderName; 8] = [
     header::CONNECTION,
--- a/crates/herondock/src/main.rs
+++ b/crates/herondock/src/main.rs
@@ -1,4 +1,5 @@
 //! herondock: a load balancer on real sockets; see the README, and `docs/architecture.md` for the way of a request.
+mod budget;
 mod check;
 mod cli;
 mod clock;
--- a/crates/herondock/src/run/mod.rs
+++ b/crates/herondock/src/run/mod.rs
@@ -11,11 +11,12 @@
 mod instance;
 mod origin;
 
+use crate::budget::Budgets;
 use crate::clock;
 use crate::config::{self, Config};
 use crate::daemon::manager::Manager;
 use crate::driver::{Handle, Parts};
-use crate::front::{fastcgi, http::Server, Course};
+use crate::front::{fastcgi, http, Course};
 use crate::live::Live;
 use crate::members::gather::{Gather, Names};
 use crate::members::registration::Registrations;
@@ -87,7 +88,12 @@
     daemon.takeover = options.takeover.or(daemon.takeover);
     let manager = Manager::new();
     let Origin { listener, pid_file, taken, others, along } = origin(&config, &daemon).await?;
-    let Config { name, discovery, seed, sockets, known, deployment, fingerprint, .. } = config;
+    let Config { name, discovery, seed, sockets, known, mut deployment, fingerprint, .. } = config;
+    let budgets = Budgets::of(&operator.budget)?;
+    if budgets.is_some() {
+        deployment.policy.refuse_hopeless = operator.budget.refuse_hopeless;
+        deployment.policy.tenant_retries = operator.budget.tenant_retries;
+    }
     let limits = Live::new(operator.limits.clone());
     let mut balancer = Balancer::new(deployment.policy.clone(), seed, start_ms).map_err(|e| e.to_string())?;
     if let Some(along) = &along {
@@ -114,6 +120,7 @@
         sockets: budget.clone(),
         drain_grace: span(deployment.drain_grace),
         max_open: usize::try_from(deployment.max_open).unwrap_or(usize::MAX),
+        late_shedding: deployment.policy.late_shedding,
     });
     let timers = handle.clone();
     let timers = tokio::task::spawn_local(async move { timers.run().await });
@@ -147,9 +154,17 @@
         sockets: budget.clone(),
         limits: limits.clone(),
         course: courses.clone(),
+        budgets: budgets.clone(),
         doors,
     });
-    let server = Server::new(handle.clone(), deployment, budget.clone(), limits, courses);
+    let server = http::Server::new(http::Parts {
+        driver: handle.clone(),
+        deployment,
+        sockets: budget.clone(),
+        limits,
+        course: courses,
+        budgets,
+    });
     let (inbox, tell) = Inbox::new(signals, manager.watchdog(), timers);
     let wiring = Wiring {
         name,
--- a/crates/herondock/src/transport/fastcgi/mod.rs
+++ b/crates/herondock/src/transport/fastcgi/mod.rs
@@ -101,11 +101,15 @@
 
     async fn carry_out(peer: &Rc<Peer<FastCgi>>, attempt: Attempt) -> Ended {
         let outcome = match asked::at_once(peer, &attempt) {
-            Some(most) => shared::carry_out(peer, attempt, most).await,
-            None => alone::carry_out(peer, attempt).await,
+            Some(most) => shared::carry_out(peer, attempt.clone(), most).await,
+            None => alone::carry_out(peer, attempt.clone()).await,
         };
         match outcome {
-            Ok(Outcome::Answered(head, body)) => answered(&head, body),
+            Ok(Outcome::Answered(head, body)) => {
+                let is = |name: &str, field: &[u8]| field.eq_ignore_ascii_case(name.as_bytes());
+                attempt.answered(|name| head.fields.iter().find(|(n, _)| is(name, n)).map(|(_, v)| &v[..]));
+                answered(&head, body, attempt.used_field())
+            }
             Ok(Outcome::Refused(_)) => (Ending::Full, None),
             Ok(Outcome::Useless(..)) => (Ending::Error, None),
             Err(ending) => (ending, None),
@@ -122,19 +126,23 @@
 
 /// Begins an attempt's request: its id.
 fn begin(peer: &Peer<FastCgi>, client: &mut Client, attempt: &Attempt) -> Option<u16> {
-    let left = format!("{}u", (attempt.until - Instant::now()).as_micros());
-    let params = params(&attempt.request, &peer.own.settings.params, &left);
+    let now = Instant::now();
+    let left = format!("{}u", (attempt.until - now).as_micros());
+    let (deadline, carried) = (DEADLINE, attempt.carried(now));
+    let own = [(deadline.as_str(), left)].into_iter().chain(carried.into_iter().flatten());
+    let params = params(&attempt.request, &peer.own.settings.params, own);
     let all = params.iter().map(|(name, value)| (&name[..], &value[..]));
     client.begin(all, attempt.request.body.clone(), true)
 }
 
 /// What an answer says. Only a mark that the request was turned away proves that it never ran.
-fn answered(head: &Head, body: Bytes) -> Ended {
+fn answered(head: &Head, body: Bytes, used: Option<&str>) -> Ended {
     let declined = head.fields.iter().any(|(n, v)| n.eq_ignore_ascii_case(b"srv-declined") && &v[..] == b"1");
     match head.status {
         200 => {
             let text = |name: &Bytes| String::from_utf8_lossy(name).to_ascii_lowercase();
-            let kept = head.fields.iter().filter(|(name, _)| !belongs_to_a_hop(name));
+            let is_used = |name: &Bytes| used.is_some_and(|used| name.eq_ignore_ascii_case(used.as_bytes()));
+            let kept = head.fields.iter().filter(|(name, _)| !belongs_to_a_hop(name) && !is_used(name));
             let all: Vec<(String, Bytes)> = kept.map(|(name, value)| (text(name), value.clone())).collect();
             let fields = Fields::new(all.iter().map(|(name, value)| (name.as_str(), &value[..])));
             (Ending::Ok, Some(Answer::Served { fields, body }))
@@ -147,7 +155,12 @@
 }
 
 /// The params of a request (RFC 3875, section 4.1): the declared ones, and those that any responder expects.
-fn params(request: &Request, declared: &Params, left: &str) -> Vec<(Vec<u8>, Vec<u8>)> {
+/// And this hop's own fields.
+fn params<'a>(
+    request: &Request,
+    declared: &Params,
+    own: impl Iterator<Item = (&'a str, String)>,
+) -> Vec<(Vec<u8>, Vec<u8>)> {
     let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
     let method = match request.method {
         Method::Get => "GET",
@@ -184,8 +197,10 @@
             None => drop(fields.insert(param, value.to_vec())),
         }
     }
-    let deadline = format!("HTTP_{}", DEADLINE.as_str().replace('-', "_").to_ascii_uppercase());
-    fields.insert(deadline.into_bytes(), left.into());
+    for (name, value) in own {
+        let name = format!("HTTP_{}", name.replace('-', "_").to_ascii_uppercase());
+        fields.insert(name.into_bytes(), value.into_bytes());
+    }
     all.extend(fields);
     for (name, template) in &declared.0 {
         let value = template.replace("{path}", path).replace("{query}", query);
@@ -209,10 +224,11 @@
             target: "/dues/pay.php?club=1".into(),
             fields: Fields::new(fields.into_iter()),
             body: Bytes::from_static(b"body"),
+            budget: None,
             over: Cell::new(false),
         };
         let declared = Params(vec![("SCRIPT_FILENAME".into(), "/srv{path}".into())]);
-        let all = params(&request, &declared, "5u");
+        let all = params(&request, &declared, [("req-deadline", "5u".into())].into_iter());
         let get = |name: &str| {
             let found = all.iter().find(|(n, _)| n == name.as_bytes());
             found.map(|(_, v)| String::from_utf8_lossy(v).into_owned())
--- a/crates/herondock/src/transport/fastcgi/shared.rs
+++ b/crates/herondock/src/transport/fastcgi/shared.rs
@@ -104,7 +104,7 @@
 /// Carries an attempt out among `most` on a connection; its request is written once at most.
 pub(super) async fn carry_out(
     peer: &Rc<Peer<FastCgi>>,
-    mut attempt: Attempt,
+    attempt: Attempt,
     most: usize,
 ) -> Result<Outcome, Ending> {
     loop {
@@ -130,10 +130,7 @@
         };
         link.gate.replace(attempt.gate.clone());
         let (tell, told) = oneshot::channel();
-        let until = attempt.until;
-        let kept = Attempt { request: attempt.request.clone(), gate: attempt.gate.clone(), until };
-        link.waiters.borrow_mut().insert(id, Waiter { attempt, tell });
-        attempt = kept;
+        link.waiters.borrow_mut().insert(id, Waiter { attempt: attempt.clone(), tell });
         link.changed.notify_one();
         let calling = Calling { link, id };
         let how = told.await;
--- a/crates/herondock/src/transport/http.rs
+++ b/crates/herondock/src/transport/http.rs
@@ -1,7 +1,7 @@
 //! Attempts over HTTP/1.1: one request to one upstream, once; and the connections that are kept for the next.
 use super::pool::{Dialled, Kept, Peer, Speaks};
 use crate::exchange::{Answer, Attempt, Ended};
-use crate::http::{fields, headers, method, DEADLINE};
+use crate::http::{fields, headers, method, DEADLINE, DECLINED};
 use crate::stream::Shared;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -20,8 +20,6 @@
 /// How long a connection may take to be ready for its next request once an answer has been read whole.
 const SETTLE: Duration = Duration::from_millis(5);
 
-const DECLINED: HeaderName = HeaderName::from_static("srv-declined");
-
 /// One open connection; closed when dropped.
 pub struct Conn {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -87,6 +85,11 @@
             if let Ok(left) = HeaderValue::try_from(format!("{left}u")) {
                 request.headers_mut().insert(DEADLINE, left);
             }
+            for (name, value) in attempt.carried(now).into_iter().flatten() {
+                if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::try_from(value)) {
+                    request.headers_mut().insert(name, value);
+                }
+            }
             match conn.sender.try_send_request(request).await {
                 Ok(answer) => break (conn, answer),
                 // Handed back whole: nothing was written. A connection that rested and had been closed meanwhile
@@ -98,6 +101,7 @@
                 },
             }
         };
+        attempt.answered(|name| answer.headers().get(name).map(HeaderValue::as_bytes));
         if !has_an_end(&answer) || answer.body().size_hint().lower() > body_most as u64 {
             return (Ending::Reset, None);
         }
@@ -111,7 +115,11 @@
             peer.keep(conn, generation, &attempt.gate);
         }
         let answer = match ending {
-            Ending::Ok => Some(Answer::Served { fields: fields(&head.headers, &[]), body: body.to_bytes() }),
+            Ending::Ok => {
+                let used = attempt.used_field().and_then(|name| HeaderName::try_from(name).ok());
+                let fields = fields(&head.headers, used.as_slice());
+                Some(Answer::Served { fields, body: body.to_bytes() })
+            }
             // Guards against callers whose bad input makes upstreams look bad: it says nothing about the upstream,
             // and sent to another it would be turned away again.
             Ending::Cancelled => Some(Answer::Unusable(head.status.as_u16())),
@@ -178,10 +186,12 @@
             target: "/api".into(),
             fields: Fields::default(),
             body: Bytes::new(),
+            budget: None,
             over: Cell::new(false),
         };
         let until = Instant::now() + Duration::from_secs(5);
-        Attempt { request: Rc::new(request), gate: Rc::new(Gate::default()), until }
+        let (gate, hop) = (Rc::new(Gate::default()), Rc::default());
+        Attempt { request: Rc::new(request), gate, until, hop }
     }
 
     fn alone(test: impl std::future::Future<Output = ()>) {
--- a/crates/oakflow/src/interface.rs
+++ b/crates/oakflow/src/interface.rs
@@ -103,6 +103,10 @@
     pub late_shedding: bool,
     /// Price of one zone crossing per first try, as a part of a request's worth.
     pub cross_zone_price: f64,
+    /// Whether a request is refused at once that has less time left than the fastest answers of its class take.
+    pub refuse_hopeless: bool,
+    /// Further attempts allowed for each first one of a tenant, on average; zero: no bound but the one for all.
+    pub tenant_retries: f64,
 }
 
 impl Default for Settings {
@@ -131,6 +135,8 @@
             tip_multiple: 2.0,
             late_shedding: false,
             cross_zone_price: 0.0,
+            refuse_hopeless: false,
+            tenant_retries: 0.0,
         }
     }
 }
@@ -182,6 +188,7 @@
         need(span(self.cold_from) && self.cold_from <= 1.0, "cold_from", "between 0 and 1")?;
         need(span(self.ramp_time), "ramp_time", "a time of at least 0")?;
         need(span(self.tip_multiple), "tip_multiple", "a number of at least 0")?;
+        need(span(self.tenant_retries), "tenant_retries", "a number of at least 0")?;
         need(span(self.cross_zone_price), "cross_zone_price", "a number of at least 0")
     }
 }
@@ -269,6 +276,17 @@
     pub tenant: usize,
     /// When the client gives up.
     pub deadline: Millis,
+    /// Attempts beyond the first that it may use; the settings' bound holds too.
+    pub retries: u32,
+    /// What an answer is worth, 0 to 1. Where not all can pass, what is worth less goes first.
+    pub worth: f64,
+}
+
+impl Request {
+    /// A request of full worth, bounded by the settings alone.
+    pub fn plain(id: RequestId, class: usize, tenant: usize, deadline: Millis) -> Request {
+        Request { id, class, tenant, deadline, retries: u32::MAX, worth: 1.0 }
+    }
 }
 
 /// What an instance has learned of its next tier and its tenants, for one that takes its place: calls per cycle, and
@@ -299,6 +317,13 @@
         /// The attempt's number.
         attempt: u32,
     },
+    /// So many attempts more may be used for a request, whatever was said before.
+    Left {
+        /// The request.
+        request: RequestId,
+        /// The attempts.
+        retries: u32,
+    },
     /// An attempt ended. Exactly one for each [`Action::Send`].
     Outcome {
         /// The request.
--- a/crates/oakflow/src/lib.rs
+++ b/crates/oakflow/src/lib.rs
@@ -14,7 +14,7 @@
 //! actions.clear();
 //!
 //! let id = RequestId(1);
-//! let request = Request { id, class: 0, tenant: 0, deadline: 3000.0 };
+//! let request = Request::plain(id, 0, 0, 3000.0);
 //! balancer.handle(1.0, Event::Request(request), &mut actions);
 //! assert!(matches!(actions[0], Action::Send { request, upstream: UpstreamId(1), .. } if request == id));
 //!
--- a/crates/oakflow/src/policy/admission.rs
+++ b/crates/oakflow/src/policy/admission.rs
@@ -1,4 +1,5 @@
 //! Admission: the learned capacity of the next tier, and the tenants' limits within it.
+use super::attempts::RETRY_SAVED;
 use super::limits::limits;
 use super::{mean_objective, CYCLE};
 use crate::interface::*;
@@ -42,6 +43,8 @@
 /// each cycle: more is untested. A mean in place of the peak would refuse the chance bursts of tiny counts.
 const CAPACITY_ROOM: f64 = 2.0;
 const PEAK_KEPT: f64 = 0.95;
+/// Part of the room that a request of no worth may find used; more for more worth.
+const WORTHLESS_ROOM: f64 = 0.5;
 
 struct TenantState {
     weight: f64,
@@ -52,6 +55,8 @@
     /// Admitted this cycle, less what was saved up in earlier ones.
     admitted: f64,
     limit: f64,
+    /// Repeats that it may still have.
+    retries: f64,
 }
 
 /// One copy's view of the next tier's capacity and the tenants' limits within it.
@@ -81,14 +86,23 @@
     timely: Millis,
     /// Whether calls within their limits were refused this cycle.
     crowded: bool,
+    /// Repeats for each first attempt of a tenant; zero: not bounded.
+    tenant_retries: f64,
 }
 
 impl Admission {
     pub(super) fn new(s: &Settings, now: Millis) -> Self {
         let none = [Tenant { share: 1.0, quota_per_s: 0.0 }];
         let listed: &[Tenant] = if s.tenants.is_empty() { &none } else { &s.tenants };
-        let fresh =
-            |weight| TenantState { weight, seen: false, count: 0.0, demand: 0.0, admitted: 0.0, limit: 0.0 };
+        let fresh = |weight| TenantState {
+            weight,
+            seen: false,
+            count: 0.0,
+            demand: 0.0,
+            admitted: 0.0,
+            limit: 0.0,
+            retries: RETRY_SAVED,
+        };
         let mut tenants: Vec<TenantState> = listed.iter().map(|t| fresh(t.share)).collect();
         // One further place for tenants that the settings do not list, however many they are.
         tenants.push(fresh(listed.iter().map(|t| t.share).fold(f64::INFINITY, f64::min)));
@@ -111,6 +125,7 @@
             peak: stated,
             unloaded: objective / 4.0,
             timely: TIMELY * objective,
+            tenant_retries: s.tenant_retries,
             ..Admission::default()
         }
     }
@@ -136,8 +151,19 @@
         self.end_cycle(now);
     }
 
-    /// Counts the request as demand and decides whether it passes.
-    pub(super) fn admit(&mut self, tenant: usize, now: Millis) -> bool {
+    /// Whether a tenant may have another repeat: a slow dependency is not sent a multiple for one of them either.
+    pub(super) fn may_repeat(&self, tenant: usize) -> bool {
+        self.tenant_retries <= 0.0 || self.tenants[tenant.min(self.tenants.len() - 1)].retries >= 1.0
+    }
+
+    pub(super) fn repeated(&mut self, tenant: usize) {
+        let tenant = tenant.min(self.tenants.len() - 1);
+        self.tenants[tenant].retries -= 1.0;
+    }
+
+    /// Counts the request as demand and decides whether it passes. What is worth less finds less room, and none
+    /// within its tenant's limit once the total is full: a late repeat goes before a first try.
+    pub(super) fn admit(&mut self, tenant: usize, worth: f64, now: Millis) -> bool {
         let tenant = tenant.min(self.tenants.len() - 1);
         if !self.tenants[tenant].seen {
             // A new tenant ends the cycle early, so that it has a limit at once (as published).
@@ -151,9 +177,11 @@
         let most = room((self.unloaded * INFLIGHT_MOST).max(self.timely));
         let t = &mut self.tenants[tenant];
         t.count += 1.0;
+        t.retries = (t.retries + self.tenant_retries).min(RETRY_SAVED);
         let inflight = self.inflight - self.lost;
-        let full = self.admitted >= self.capacity || inflight >= full;
-        let within = t.admitted < t.limit;
+        let part = if worth < 1.0 { WORTHLESS_ROOM + (1.0 - WORTHLESS_ROOM) * worth.max(0.0) } else { 1.0 };
+        let full = self.admitted >= self.capacity * part || inflight >= full * part;
+        let within = worth >= 1.0 && t.admitted < t.limit;
         if inflight >= most || (full && !within) {
             self.crowded |= within;
             return false;
--- a/crates/oakflow/src/policy/attempts.rs
+++ b/crates/oakflow/src/policy/attempts.rs
@@ -19,9 +19,12 @@
 
 pub(super) struct Pending {
     class: usize,
+    tenant: usize,
+    /// Most attempts, of those that the settings allow.
+    pub(super) cap: u32,
     /// When an answer stops being worth anything: no attempt runs longer.
     ends: Millis,
-    sends: u32,
+    pub(super) sends: u32,
     /// Attempts out: their number, upstream, when they were sent and how rested their connection was.
     pub(super) out: Vec<(u32, usize, Millis, usize)>,
     /// The first attempt that may have run: its number, when it was sent, its zone and group.
@@ -35,7 +38,7 @@
     fn send(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let s = &self.settings;
         let Some(p) = self.pending.get(&id) else { return false };
-        if p.sends >= s.attempts_cap || now >= p.ends {
+        if p.sends >= s.attempts_cap.min(p.cap) || now >= p.ends || self.hopeless(p.class, p.ends - now) {
             return false;
         }
         let scope = match (p.ran, s.classes[p.class].effect) {
@@ -73,12 +76,16 @@
         true
     }
 
+    fn hopeless(&self, class: usize, left: Millis) -> bool {
+        self.settings.refuse_hopeless && self.fastest.hopeless(class, left)
+    }
+
     /// Silence is waited out, as heavy work is silent too and its repeat as heavy, but where answers got lost
     /// of late, from this upstream or on connections that rested as long, and a repeat is legal and in time.
     fn timeout(&self, p: &Pending, i: usize, rest: usize, now: Millis) -> Millis {
         let (f, u) = (&self.fleet, &self.fleet.slots[i]);
         let suspect = u.fails > SUSPECT_AT || f.rest_lost[rest] > SUSPECT_AT / 4.0;
-        let again = p.sends + 1 < self.settings.attempts_cap && self.retries >= 1.0;
+        let again = p.sends + 1 < self.settings.attempts_cap.min(p.cap) && self.retries >= 1.0;
         let repeats = again && self.settings.classes[p.class].effect != Effect::SingleShot;
         let usual = f.latency * u.slowness.clamp(1.0, 3.0);
         let patience = usual + (TIMEOUT_DEVIATIONS * f.deviation).max(f.latency);
@@ -115,16 +122,23 @@
             return;
         }
         self.retries = (self.retries + RETRY_RATIO).min(RETRY_SAVED);
-        if r.class >= self.settings.classes.len() || !self.admission.admit(r.tenant, now) {
+        let Some(c) = self.settings.classes.get(r.class) else {
             let refusal = self.refusal(r.id);
             return actions.push(refusal);
-        }
-        let class = r.class;
-        let c = &self.settings.classes[class];
+        };
         // A late answer that earns nothing only holds a slot in every tier above.
         let useful = if c.late_worth > 0.0 { f64::INFINITY } else { now + c.objective * AIM_PART };
-        let ends = r.deadline.min(useful);
-        let fresh = Pending { class, ends, sends: 0, out: Vec::new(), ran: None, last: None, over: false };
+        let (class, ends) = (r.class, r.deadline.min(useful));
+        let hopeless = self.hopeless(class, ends - now);
+        if hopeless {
+            self.fastest.doubt(class);
+        }
+        if hopeless || !self.admission.admit(r.tenant, r.worth, now) {
+            let refusal = self.refusal(r.id);
+            return actions.push(refusal);
+        }
+        let (tenant, cap, out) = (r.tenant, r.retries.saturating_add(1), Vec::new());
+        let fresh = Pending { class, tenant, cap, ends, sends: 0, out, ran: None, last: None, over: false };
         self.pending.insert(r.id, fresh);
         if !self.send(now, r.id, actions) {
             self.give_up(r.id, actions);
@@ -171,12 +185,15 @@
         if proof && p.out.is_empty() && p.ran.is_some_and(|(n, ..)| n == number) {
             p.ran = None;
         }
-        let class = p.class;
+        let (class, tenant) = (p.class, p.tenant);
         p.over |= closed;
         let (over, waiting) = (p.over, !p.out.is_empty());
         self.admission.inflight -= 1.0;
         let own = self.fleet.ended((i, rest), ending, duration, now, &mut self.rng);
         self.fleet.forget_if_gone(i);
+        if ending == Ending::Ok {
+            self.fastest.answered(class, duration);
+        }
         let lateness = match ending {
             Ending::Ok => Some(lateness(duration / self.settings.classes[class].objective)),
             Ending::Cancelled | Ending::Moot => None,
@@ -190,9 +207,10 @@
         if over && !waiting {
             self.pending.remove(&id);
         } else if !over && !waiting {
-            let again = ending != Ending::Ok && self.retries >= 1.0;
-            if again && self.send(now, id, actions) {
+            let tokens = self.retries >= 1.0 && self.admission.may_repeat(tenant);
+            if ending != Ending::Ok && tokens && self.send(now, id, actions) {
                 self.retries -= 1.0;
+                self.admission.repeated(tenant);
             } else {
                 self.give_up(id, actions);
             }
--- a/crates/oakflow/src/policy/mod.rs
+++ b/crates/oakflow/src/policy/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod attempts;
 mod chance;
+mod hopeless;
 mod limits;
 mod members;
 mod pick;
@@ -14,6 +15,7 @@
 use admission::{Admission, SUCCESS_WANTED};
 use attempts::{Pending, RETRY_SAVED};
 use chance::unit;
+use hopeless::Fastest;
 use members::Fleet;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -40,6 +42,7 @@
     fleet: Fleet,
     pending: BTreeMap<RequestId, Pending>,
     retries: f64,
+    fastest: Fastest,
     started: bool,
     ask_failures: u32,
     late: bool,
@@ -58,6 +61,7 @@
             fleet,
             pending: BTreeMap::new(),
             retries: RETRY_SAVED,
+            fastest: Fastest::new(settings.classes.len()),
             started: false,
             ask_failures: 0,
             late: false,
@@ -108,6 +112,11 @@
             Event::Outcome { request, attempt, ending, duration, closed } => {
                 self.outcome(now, request, attempt, (ending, duration, closed), actions);
             }
+            Event::Left { request, retries } => {
+                if let Some(p) = self.pending.get_mut(&request) {
+                    p.cap = p.sends.saturating_add(retries);
+                }
+            }
             Event::ClientGone(id) => {
                 if let Some(p) = self.pending.get_mut(&id) {
                     p.over = true;
--- a/crates/oakflow/tests/common/mod.rs
+++ b/crates/oakflow/tests/common/mod.rs
@@ -92,7 +92,7 @@
         let (sends, until, ended) = (Vec::new(), Vec::new(), Vec::new());
         let fresh = Seen { class, deadline, sends, until, ended, answered: false };
         self.seen.insert(id, fresh);
-        self.event(Event::Request(Request { id, class, tenant, deadline }))
+        self.event(Event::Request(Request::plain(id, class, tenant, deadline)))
     }
 
     pub fn outcome(&mut self, id: u32, attempt: usize, ending: Ending) -> Vec<Action> {
--- a/crates/oakflow/tests/rules.rs
+++ b/crates/oakflow/tests/rules.rs
@@ -246,7 +246,7 @@
 #[test]
 fn unknown_classes_tenants_requests_and_timers_do_no_harm() {
     let mut world = World::new(Settings::default(), 1, vec![member(1)]);
-    let stranger = Request { id: RequestId(9), class: 7, tenant: 7, deadline: 900.0 };
+    let stranger = Request::plain(RequestId(9), 7, 7, 900.0);
     let mut actions = Vec::new();
     world.balancer.handle(0.0, Event::Request(stranger), &mut actions);
     assert!(matches!(actions[..], [Action::Refuse { .. }]), "an unknown class is refused: nothing has run");
@@ -266,7 +266,7 @@
         let (id, value) = (RequestId(n as u32), odd[n / 7 % 7]);
         let list = (1..5).map(|id| Member { since: value, ..member(id) }).collect();
         balancer.handle(now, Event::Membership(Membership::Full(list)), &mut actions);
-        let request = Request { id, class: 0, tenant: n % 3, deadline: value };
+        let request = Request::plain(id, 0, n % 3, value);
         balancer.handle(now, Event::Request(request), &mut actions);
         let (attempt, ending) =
             (n as u32 % 2, if n.is_multiple_of(3) { Ending::Timeout } else { Ending::Ok });
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,6 +8,7 @@
 //! requests, connections and dialling; [`Deployment`] keeps what of these a balancer on sockets needs. Of the events the codec drops probe results, peer messages and load
 //! reports; of a request its key, its cost hint and its marks; of a list entry its scale. Never asked for: single
 //! fetches of the list, and unsubscribing.
+pub mod budget;
 pub mod fastcgi;
 pub mod fleet;
 pub mod operator;
@@ -179,6 +180,9 @@
         tip_multiple: s.invariants.tip_multiple,
         late_shedding: s.invariants.late_shedding,
         cross_zone_price: s.charges.cross_zone,
+        // Of the operator's file, where it says so.
+        refuse_hopeless: false,
+        tenant_retries: 0.0,
     };
     settings.validate().map_err(|e| e.to_string())?;
     for (key, span) in [
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -2,6 +2,7 @@
 //!
 //! Times are written with their unit (`250ms`, `10s`, `2m`) and sizes too (`256B`, `64KiB`, `1MiB`). Whatever is
 //! wrong is named with line, column and field. `deploy/herondock.example.toml` documents every key.
+use crate::budget::{BudgetTable, RawBudget};
 use crate::fastcgi::{FastCgi, RawFastCgi};
 use crate::registry::{RawConsul, RawRegistry, RawStatic, Registry};
 pub use crate::values::Fault;
@@ -147,6 +148,8 @@
     pub registry: Registry,
     /// `[fastcgi]`
     pub fastcgi: FastCgi,
+    /// `[budget]`
+    pub budget: BudgetTable,
 }
 
 #[derive(Deserialize, Default)]
@@ -164,6 +167,8 @@
     fixed: Vec<RawStatic>,
     #[serde(default)]
     fastcgi: RawFastCgi,
+    #[serde(default)]
+    budget: RawBudget,
 }
 
 impl Operator {
@@ -176,6 +181,9 @@
         if self.fastcgi != next.fastcgi {
             names.push("fastcgi");
         }
+        if self.budget != next.budget {
+            names.push("budget");
+        }
         names
     }
 }
@@ -187,9 +195,15 @@
 pub fn parse(bytes: &[u8]) -> Result<Operator, Fault> {
     let (text, raw) = read_text::<Raw>(bytes)?;
     let fastcgi = crate::fastcgi::resolve(text, raw.fastcgi)?;
+    let budget = crate::budget::resolve(text, raw.budget)?;
     let registry = crate::registry::resolve(text, raw.registry, raw.consul, raw.fixed)?;
-    let operator =
-        Operator { limits: raw.limits.resolve(text)?, daemon: raw.daemon.resolve(text)?, registry, fastcgi };
+    let operator = Operator {
+        limits: raw.limits.resolve(text)?,
+        daemon: raw.daemon.resolve(text)?,
+        registry,
+        fastcgi,
+        budget,
+    };
     let d = &operator.daemon;
     for (field, before, least, value) in [
         ("daemon.serving", "accepting", d.accepting, d.serving),
@@ -313,6 +327,12 @@
             ("[fastcgi]\nlisten = [\"nowhere\"]\n", "2:11: ", "fastcgi.listen"),
             ("[fastcgi]\nrequests = 0\n", "2:12: ", "fastcgi.requests"),
             ("[fastcgi]\nmultiplex = 1001\n", "2:13: ", "fastcgi.multiplex"),
+            ("[budget]\ntrust = [\"all\"]\n", "2:10: ", "budget.trust: \"all\" is none of http, fastcgi"),
+            ("[budget]\nretries = 1000000\n", "2:11: ", "budget.retries"),
+            ("[budget]\nrepeat_worth = inf\n", "2:16: ", "budget.repeat_worth"),
+            ("[budget]\npool = \"\"\n", "2:8: ", "budget.pool"),
+            ("[budget.names]\npath = \"Via\"\n", "2:8: ", "budget.names.path"),
+            ("[budget.names]\npath = \"req-id\"\n", "budget.names", "is the name of something else"),
             ("[fastcgi.names]\nid = \"req-id\"\n", "2:6: ", "fastcgi.names.id"),
         ] {
             let error = error(text);
@@ -363,6 +383,7 @@
             ("portal", false)
         );
         assert!(consul.register.is_some() && all.registry.fixed.len() == 1 && all.fastcgi.params.len() == 2);
+        assert!(all.budget.pool.is_some() && all.budget.secret_file.is_some());
         let plain =
             parse(b"[[consul]]\nname = \"a\"\nservice = \"s\"\nagents = [\"127.0.0.1:1\"]\n").expect("good");
         let plain = &plain.registry.consul[0];
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -188,12 +188,12 @@
             let setup = span(tail, u32_at(r, 9), u64::from(u32_at(r, 13)), "settings")?;
             Record::Configure { seed: u64_at(r, 1), setup }
         }
-        5 => Record::Event(Event::Request(Request {
-            id: RequestId(u32_at(r, 1)),
-            class: usize::from(r[5]),
-            tenant: u32_at(r, 6) as usize,
-            deadline: finite(f64_at(r, 18), "deadline")?,
-        })),
+        5 => Record::Event(Event::Request(Request::plain(
+            RequestId(u32_at(r, 1)),
+            usize::from(r[5]),
+            u32_at(r, 6) as usize,
+            finite(f64_at(r, 18), "deadline")?,
+        ))),
         6 => {
             let bytes = u64::from(u32_at(r, 9)) * ENTRY as u64;
             let range = span(tail, u32_at(r, 5), bytes, "entries")?;
@@ -367,7 +367,7 @@
         assert_eq!(batch.records.len(), 5);
         assert_eq!(batch.records[0], Record::Target(3));
         let id = RequestId(0x5d3a_91c4);
-        let request = Request { id, class: 0, tenant: 0, deadline: 8652.25 };
+        let request = Request::plain(id, 0, 0, 8652.25);
         assert_eq!(batch.records[1], Record::Event(Event::Request(request)));
         assert_eq!(batch.records[2], Record::Event(Event::Timer(0x4d)));
         assert_eq!(batch.records[4], Record::Event(Event::ClientGone(RequestId(0x0e6f_2b19))));
