No circles between files again; ways round a route by ;, hosts and empty pools closed

Cause: two files of crates/budget, of settings and of the module imported one another. An instance whose first pool had no members never became ready. Servers that cut a segment at ; and hosts that differ between target and header would have led round a route.

Change: types and reading of files moved to where both sides import them; readiness is the pools' own; what can be read in two ways is refused where there is a table.

--- a/crates/budget/src/grammar.rs
+++ b/crates/budget/src/grammar.rs
@@ -7,7 +7,6 @@
 //!
 //! `left` is in milliseconds. Keys that are not known are passed over, so that later versions can add some; what is
 //! known is read strictly.
-use crate::purse::Used;
 use std::fmt;
 
 /// Longest value that is looked at, in bytes.
@@ -79,6 +78,15 @@
     }
 }
 
+/// What was used of a grant.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Used {
+    /// Repeats.
+    pub retries: u32,
+    /// Why nothing further is to be tried.
+    pub stop: Option<Stop>,
+}
+
 /// Each key and value of a dictionary, with the byte at which the value begins.
 fn members(value: &[u8]) -> impl Iterator<Item = Result<(&[u8], &[u8]), usize>> {
     let mut at = 0;
--- a/crates/budget/src/purse.rs
+++ b/crates/budget/src/purse.rs
@@ -1,15 +1,6 @@
 //! The repeats of one request at one hop. What is granted to an attempt is out of hand until its answer tells what was used
 //! of it; an attempt that is lost has used all of it. So no chain of hops spends more than was given, whatever is lost.
-use crate::grammar::Stop;
-
-/// What was used of a grant.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Used {
-    /// Repeats.
-    pub retries: u32,
-    /// Why nothing further is to be tried.
-    pub stop: Option<Stop>,
-}
+use crate::grammar::{Stop, Used};
 
 /// What the end of an attempt tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/budget/tests/budget.rs
+++ b/crates/budget/tests/budget.rs
@@ -1,9 +1,10 @@
 //! Budgets against what callers send and what gets lost.
 use budget::causes::Causes;
+use budget::grammar::Used;
 use budget::grammar::{read_budget, read_used, write_budget, write_used, Bad, Offer, Stop};
 use budget::hearing::Hearing;
 use budget::path::{Mark, Path, Refused};
-use budget::purse::{Purse, Told, Used};
+use budget::purse::{Purse, Told};
 use budget::{Bounds, Budget, Given, Untaken};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
--- a/crates/herondock/benches/budget.rs
+++ b/crates/herondock/benches/budget.rs
@@ -1,7 +1,7 @@
 //! What a budget costs a request: reading its fields, and writing them for an attempt; nanoseconds, and bytes of head.
-use budget::grammar::{write_budget, write_used};
+use budget::grammar::{write_budget, write_used, Used};
 use budget::path::Mark;
-use budget::purse::{Purse, Told, Used};
+use budget::purse::{Purse, Told};
 use budget::{Bounds, Budget, Given};
 use std::hint::black_box;
 use std::time::Instant;
--- a/crates/herondock/benches/fastcgi.rs
+++ b/crates/herondock/benches/fastcgi.rs
@@ -2,7 +2,8 @@
 //! beside a plain copy.
 //!
 //! `cargo bench -p herondock --bench fastcgi [-- SECONDS]`: 16 connections that ask again once they are answered, an
-//! upstream that answers 64 bytes at once; the pairings in turn within each of 5 rounds of SECONDS (2).
+//! upstream that answers 64 bytes at once; the pairings in turn within each of 5 rounds of SECONDS (2). With `allocations`
+//! in place of SECONDS: calls to the allocator for each request, counted by valgrind's callgrind, which has to be there.
 use bytes::BytesMut;
 use fastcgi::record::{kind, Decoder, Piece};
 use std::io::{Read, Write};
@@ -84,6 +85,46 @@
     addr
 }
 
+/// An application that takes several requests at once and answers each as it comes.
+fn upstream_at_once() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let addr = listener.local_addr().expect("an address");
+    let output = format!("Status: 200 OK\r\n\r\n{}", "x".repeat(64));
+    let answer =
+        move |id| [record(6, id, output.as_bytes(), 0), record(6, id, b"", 0), end(id, 0, 0)].concat();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let answer = answer.clone();
+            let _ = stream.set_nodelay(true);
+            std::thread::spawn(move || {
+                let (mut bytes, mut buffer) = (Vec::new(), [0; 16 << 10]);
+                while let Ok(n @ 1..) = stream.read(&mut buffer) {
+                    bytes.extend_from_slice(&buffer[..n]);
+                    let (mut at, mut out) = (0, Vec::new());
+                    while let Some(head) = bytes.get(at..at + 8) {
+                        let length = usize::from(u16::from_be_bytes([head[4], head[5]]));
+                        let size = 8 + length + usize::from(head[6]);
+                        if bytes.len() < at + size {
+                            break;
+                        }
+                        match (head[1], length) {
+                            (9, _) => out.extend(record(10, 0, &pairs(&[("FCGI_MPXS_CONNS", "1")]), 0)),
+                            (5, 0) => out.extend(answer(u16::from_be_bytes([head[2], head[3]]))),
+                            _ => {}
+                        }
+                        at += size;
+                    }
+                    bytes.drain(..at);
+                    if stream.write_all(&out).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
 fn request(speaks: Speaks, id: &str) -> Vec<u8> {
     match speaks {
         Speaks::Http => testkit::message::get(id, "15000m").into_bytes(),
@@ -115,15 +156,29 @@
 
 fn way(name: &'static str, front: Speaks, back: Speaks) -> Way {
     let program = Program::new(env!("CARGO_BIN_EXE_herondock"), env!("CARGO_TARGET_TMPDIR"));
+    way_by(&program, &[], name, front, (back, 1))
+}
+
+/// The program of `program` with these arguments before its own.
+fn way_by(
+    program: &Program,
+    before: &[String],
+    name: &'static str,
+    front: Speaks,
+    (back, at_once): (Speaks, usize),
+) -> Way {
     let speaks = if matches!(back, Speaks::FastCgi) { "fastcgi" } else { "http" };
-    let text = format!("[registry]\nspeaks = \"{speaks}\"\n[fastcgi]\nlisten = [\"127.0.0.1:0\"]\n");
+    let text = format!(
+        "[registry]\nspeaks = \"{speaks}\"\n[fastcgi]\nlisten = [\"127.0.0.1:0\"]\nmultiplex = {at_once}\n"
+    );
     let discovery = Discovery::start();
-    let known = listing(1, true, &[(0, upstream(back), "active")]);
+    let upstream = if at_once > 1 { upstream_at_once() } else { upstream(back) };
+    let known = listing(1, true, &[(0, upstream, "active")]);
     // Room for a load without a limit: what is measured is the way of a request.
     let config =
         config(discovery.addr, 4096, &known).replace("\"quota_per_s\":5000", "\"quota_per_s\":1000000");
     let mut command = program.command(&config);
-    command.arg("run").arg("--operator").arg(program.file(".toml", &text));
+    command.args(before).arg("run").arg("--operator").arg(program.file(".toml", &text));
     let node = Node::run(command, discovery);
     let side = node.log().iter().find_map(|l| l.split_once("callers may connect to ")?.1.parse().ok());
     let addr = if matches!(front, Speaks::FastCgi) { side.expect("a front") } else { node.addr };
@@ -182,6 +237,57 @@
     line.trim().trim_end_matches(" kB").trim().parse::<f64>().unwrap_or(0.0) * 1024.0 / 1e6
 }
 
+/// Calls to the allocator for each request of each pairing, on one connection.
+fn allocations() {
+    for (name, front, back) in [
+        ("HTTP to HTTP", Speaks::Http, (Speaks::Http, 1)),
+        ("HTTP to FastCGI", Speaks::Http, (Speaks::FastCgi, 1)),
+        ("FastCGI to HTTP", Speaks::FastCgi, (Speaks::Http, 1)),
+        ("FastCGI to FastCGI", Speaks::FastCgi, (Speaks::FastCgi, 1)),
+        ("FastCGI to FastCGI, 8 at once", Speaks::FastCgi, (Speaks::FastCgi, 8)),
+    ] {
+        let counted = |requests: usize| {
+            let out = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("callgrind.out");
+            let program = Program::new("valgrind", env!("CARGO_TARGET_TMPDIR"));
+            let file = format!("--callgrind-out-file={}", out.display());
+            let before = ["--tool=callgrind".into(), file, env!("CARGO_BIN_EXE_herondock").to_string()];
+            let mut way = way_by(&program, &before, name, front, back);
+            let mut stream = TcpStream::connect(way.addr).expect("connects");
+            for k in 0..requests {
+                stream.write_all(&request(front, &format!("r{k}"))).expect("writes");
+                assert!(exchange(&mut stream, front, kind::END), "it closed");
+            }
+            drop(stream);
+            way.node.terminate();
+            way.node.wait();
+            calls(&std::fs::read_to_string(out).expect("callgrind's file"))
+        };
+        // The start and the end are in both.
+        let (few, many) = (counted(200), counted(1200));
+        println!("{name}: {:.1} calls to the allocator for a request", (many - few) as f64 / 1000.0);
+    }
+}
+
+/// Calls to the allocator in a file of callgrind's: `cfn=(id) name` is followed by `calls=count`.
+fn calls(text: &str) -> i64 {
+    let mut names = std::collections::HashMap::new();
+    let (mut callee, mut sum) = (String::new(), 0);
+    for line in text.lines() {
+        let function = line.strip_prefix("cfn=").or(line.strip_prefix("fn="));
+        if let Some((id, name)) = function.and_then(|f| f.split_once(')')) {
+            if !name.trim().is_empty() {
+                names.insert(id.to_string(), name.trim().to_string());
+            }
+            callee = names.get(id).cloned().unwrap_or_default();
+        } else if let Some(count) = line.strip_prefix("calls=") {
+            if ["malloc", "calloc", "realloc", "posix_memalign", "aligned_alloc"].contains(&callee.as_str()) {
+                sum += count.split(' ').next().and_then(|n| n.parse::<i64>().ok()).unwrap_or(0);
+            }
+        }
+    }
+    sum
+}
+
 /// Memory with connections that rest, and with such that have sent half a record.
 fn quiet() {
     for (what, speaks) in [("HTTP", Speaks::Http), ("FastCGI", Speaks::FastCgi)] {
@@ -245,12 +351,17 @@
 
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).filter(|a| a != "--bench").collect();
+    if args.iter().any(|a| a == "allocations") {
+        return allocations();
+    }
     let length = Duration::from_secs(args.first().map_or(2, |a| a.parse().expect("seconds")));
+    let program = Program::new(env!("CARGO_BIN_EXE_herondock"), env!("CARGO_TARGET_TMPDIR"));
     let mut ways = [
         way("HTTP to HTTP", Speaks::Http, Speaks::Http),
         way("HTTP to FastCGI", Speaks::Http, Speaks::FastCgi),
         way("FastCGI to HTTP", Speaks::FastCgi, Speaks::Http),
         way("FastCGI to FastCGI", Speaks::FastCgi, Speaks::FastCgi),
+        way_by(&program, &[], "the same, 8 at once", Speaks::FastCgi, (Speaks::FastCgi, 8)),
     ];
     for _ in 0..ROUNDS {
         ways.iter_mut().for_each(|way| round(way, length));
--- a/crates/herondock/benches/tiers.rs
+++ b/crates/herondock/benches/tiers.rs
@@ -232,7 +232,7 @@
     let (n_slow, s_slow) = part(USUAL, USUAL + SLOW);
     let end = USUAL + SLOW + AFTER;
     let windows = (0..(AFTER * 4.0) as usize).map(|k| USUAL + SLOW + k as f64 / 4.0);
-    let bad = windows.filter(|&from| part(from, from + 0.25).1 < 0.95 * s_usual).last();
+    let bad = windows.rev().find(|&from| part(from, from + 0.25).1 < 0.95 * s_usual);
     let per = |k: usize| [usual[k].0 as f64 / n_usual, (during[k].0 - usual[k].0) as f64 / n_slow];
     let wasted = |k: usize| (during[k].2 - usual[k].2) as f64 / (during[k].1 - usual[k].1).max(1) as f64;
     Result {
--- a/crates/herondock/src/driver.rs
+++ b/crates/herondock/src/driver.rs
@@ -4,8 +4,9 @@
 use crate::log::log;
 use crate::members::{Audience, Entry, Listing};
 use crate::sockets::Sockets;
+use budget::grammar::Used;
 use budget::hearing::Hearing;
-use budget::purse::{Purse, Told, Used};
+use budget::purse::{Purse, Told};
 use bytes::Bytes;
 use oakflow::{
     Action, Availability, Balancer, Ending, Event, Learned, Membership, Millis, RequestId, UpstreamId,
@@ -113,7 +114,6 @@
     timers: BTreeMap<(Instant, u64), Due>,
     timer_seq: u64,
     events: VecDeque<Event>,
-    listed: bool,
 }
 
 /// The callers' names of open requests, shared by all drivers.
@@ -123,7 +123,6 @@
     driver: RefCell<Driver>,
     timers: Notify,
     subscribe: Rc<Notify>,
-    known: Notify,
 }
 
 /// The driver as everything else sees it.
@@ -133,7 +132,6 @@
 impl Audience for Handle {
     fn listed(&self, listing: &Listing) {
         self.0.driver.borrow_mut().note_list(listing);
-        self.0.known.notify_one();
         self.feed(Event::Membership(Membership::Delta(listing.members().collect())));
     }
 
@@ -229,10 +227,9 @@
             timers: BTreeMap::new(),
             timer_seq: 0,
             events: VecDeque::new(),
-            listed: false,
         };
         let driver = RefCell::new(driver);
-        let shared = Shared { driver, timers: Notify::new(), subscribe, known: Notify::new() };
+        let shared = Shared { driver, timers: Notify::new(), subscribe };
         Handle(Rc::new(shared))
     }
 
@@ -268,11 +265,6 @@
         }
     }
 
-    /// Whether upstreams are known, so that requests can be served.
-    pub fn ready(&self) -> bool {
-        self.0.driver.borrow().listed
-    }
-
     /// Requests that have no final answer yet.
     pub fn open(&self) -> usize {
         self.0.driver.borrow().open.values().filter(|o| o.reply.is_some()).count()
@@ -307,13 +299,6 @@
         self.0.driver.borrow().upstreams.values().filter_map(|k| k.upstream.oldest_idle()).min()
     }
 
-    /// Waits until upstreams are known.
-    pub async fn known(&self) {
-        while !self.ready() {
-            self.0.known.notified().await;
-        }
-    }
-
     /// What the module has learned.
     pub fn learned(&self) -> Learned {
         self.0.driver.borrow().balancer.learned()
@@ -322,7 +307,6 @@
     /// Takes a saved list, before any other news of members.
     pub fn cached(&self, listing: &Listing) {
         self.0.driver.borrow_mut().note_list(listing);
-        self.0.known.notify_one();
         self.feed(Event::Membership(Membership::Cached(listing.members().collect())));
     }
 
@@ -556,7 +540,6 @@
         let closes = Instant::now() + if listing.at_once { Duration::ZERO } else { self.drain_grace };
         for entry in &listing.entries {
             let m = &entry.member;
-            self.listed |= m.availability != Availability::Gone;
             let known = self.upstreams.entry(m.id).or_insert_with(|| Known {
                 upstream: (self.transports)(entry),
                 gate: Rc::default(),
--- a/crates/herondock/src/exchange.rs
+++ b/crates/herondock/src/exchange.rs
@@ -4,7 +4,7 @@
 //! [`Request`] and an [`Answer`] back into them, the driver numbers and times, and a transport carries one
 //! [`Attempt`] out in the protocol of its upstream.
 use budget::grammar;
-use budget::purse::Used;
+use budget::grammar::Used;
 use budget::Budget;
 use bytes::{BufMut, Bytes, BytesMut};
 use oakflow::{Ending, Millis};
--- a/crates/herondock/src/front/fastcgi.rs
+++ b/crates/herondock/src/front/fastcgi.rs
@@ -15,7 +15,7 @@
 use crate::routing::{Pools, Taken};
 use crate::sockets::Sockets;
 use budget::grammar::write_used;
-use budget::purse::Used;
+use budget::grammar::Used;
 use budget::Untaken as NotTaken;
 use bytes::{Buf, Bytes, BytesMut};
 use fastcgi::pairs::Pair;
@@ -487,7 +487,10 @@
         let asked = Asked {
             front: 1,
             method: usize::from(method == Method::Post),
-            host: param("HTTP_HOST").or(param("SERVER_NAME")).unwrap_or(""),
+            host: match request.params.iter().filter(|(n, _)| n == "HTTP_HOST").count() {
+                0 => Some(param("SERVER_NAME").unwrap_or("")),
+                _ => param("HTTP_HOST"),
+            },
             target: &target,
             key: request.params.iter().find(|(n, _)| n == names.key.as_bytes()).map(|(_, v)| &v[..]),
             id: param(&names.id).unwrap_or("").as_bytes(),
--- a/crates/herondock/src/front/http.rs
+++ b/crates/herondock/src/front/http.rs
@@ -13,7 +13,7 @@
 use crate::sockets::{Places, Sockets};
 use crate::stream::Shared;
 use budget::grammar::write_used;
-use budget::purse::Used;
+use budget::grammar::Used;
 use budget::Untaken as NotTaken;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -401,8 +401,13 @@
             attempts: None,
             over: Cell::new(false),
         };
-        let host = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
-        let host = head.uri.authority().map_or(host.unwrap_or(""), |a| a.as_str());
+        // Upstreams get the header, so that a target with a host of its own must say the same.
+        let mut hosts = head.headers.get_all(header::HOST).iter().map(|h| h.to_str().ok());
+        let host = match (hosts.next(), hosts.next(), head.uri.authority()) {
+            (None, _, authority) => Some(authority.map_or("", |a| a.as_str())),
+            (Some(host), None, authority) => host.filter(|h| authority.is_none_or(|a| a.as_str() == *h)),
+            _ => None,
+        };
         let asked = Asked {
             front: 0,
             method: usize::from(method == Method::Post),
--- a/crates/herondock/src/routing/ask.rs
+++ b/crates/herondock/src/routing/ask.rs
@@ -13,8 +13,8 @@
     pub front: usize,
     /// The method, by its position in [`cube::METHODS`].
     pub method: usize,
-    /// The host, perhaps with a port; empty: there is none.
-    pub host: &'a str,
+    /// The host, perhaps with a port, empty if there is none; `None`: there are several.
+    pub host: Option<&'a str>,
     /// Path and query.
     pub target: &'a str,
     /// The key by which upstreams drop repeats.
@@ -70,9 +70,10 @@
     ) -> Result<Query<'q, 'a>, Turned> {
         let path = asked.target.split('?').next().unwrap_or("");
         let path = segments(path).map_err(|why| Turned::Unclear(why.words()))?;
-        let name = match asked.host.rsplit_once(':') {
+        let host = asked.host.ok_or(Turned::Unclear("there are several hosts"))?;
+        let name = match host.rsplit_once(':') {
             Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
-            _ => asked.host,
+            _ => host,
         };
         // A name may end with the root's dot (RFC 3986, section 3.2.2).
         let name = name.strip_suffix('.').unwrap_or(name);
--- a/crates/herondock/src/routing/mod.rs
+++ b/crates/herondock/src/routing/mod.rs
@@ -54,6 +54,8 @@
     /// All members as they are.
     view: RefCell<BTreeMap<UpstreamId, Entry>>,
     listed: Cell<bool>,
+    /// Told once members are known.
+    known: Notify,
     subscribe: Rc<Notify>,
     /// Told when a driver's timers stop, which nothing can be served without.
     broken: Rc<Notify>,
@@ -114,6 +116,7 @@
             past: RefCell::default(),
             view: RefCell::default(),
             listed: Cell::new(false),
+            known: Notify::new(),
             subscribe,
             broken,
             max_open,
@@ -168,11 +171,7 @@
     /// Waits until upstreams are known.
     pub async fn known(&self) {
         while !self.ready() {
-            // Told with each listing.
-            match self.each().first() {
-                Some(pool) => pool.handle.known().await,
-                None => return,
-            }
+            self.0.known.notified().await;
         }
     }
 
@@ -192,13 +191,14 @@
 
     fn note(&self, listing: &Listing) {
         let mut view = self.0.view.borrow_mut();
+        if listing.entries.iter().any(|e| e.member.availability != Availability::Gone) {
+            self.0.listed.set(true);
+            self.0.known.notify_one();
+        }
         for entry in &listing.entries {
             match entry.member.availability {
                 Availability::Gone => drop(view.remove(&entry.member.id)),
-                _ => {
-                    self.0.listed.set(true);
-                    view.insert(entry.member.id, entry.clone());
-                }
+                _ => drop(view.insert(entry.member.id, entry.clone())),
             }
         }
     }
--- a/crates/herondock/src/routing/show.rs
+++ b/crates/herondock/src/routing/show.rs
@@ -62,7 +62,7 @@
     let asked = Asked {
         front: position("front", &fronts, Some(&d.front))?,
         method: position("method", &methods, Some(&d.method))?,
-        host: &d.host,
+        host: Some(&d.host),
         target: &d.path,
         key: d.key.as_deref().map(str::as_bytes),
         id: b"",
--- a/crates/herondock/tests/routing.rs
+++ b/crates/herondock/tests/routing.rs
@@ -136,6 +136,7 @@
         ),
         ("/api/x/../admin", "club", "", (400, "the path has a segment . or ..")),
         ("/api//admin", "club", "", (400, "the path has an empty segment")),
+        ("/api/admin;a=b", "club", "", (400, "the path has a ; in a segment")),
         ("/api/x%2fadmin", "club", "", (400, "the path has an escape that is none, or hides a character")),
     ] {
         let got = answer(&node, &request("r", path, club, more));
@@ -150,6 +151,14 @@
         let text = request("r", "/api", "club", "").replacen("service.internal", host, 1);
         assert_eq!(answer(&node, &text), (200, wanted.into()), "{host}");
     }
+    // Two hosts, or one in the target beside another in the header, are none.
+    for (from, to) in [
+        ("Host: service.internal", "Host: service.internal\r\nHost: a.ribera.example"),
+        ("GET /api", "GET http://a.ribera.example/api"),
+    ] {
+        let got = answer(&node, &request("r", "/api", "club", "").replacen(from, to, 1));
+        assert_eq!(got, (400, "there are several hosts".into()));
+    }
     // The same by the other front.
     let addr = PAIRINGS[2].addr(&node);
     for (path, status, body) in [
--- a/crates/oakflow/src/policy/admission.rs
+++ b/crates/oakflow/src/policy/admission.rs
@@ -1,5 +1,4 @@
 //! Admission: the learned capacity of the next tier, and the tenants' limits within it.
-use super::attempts::RETRY_SAVED;
 use super::limits::limits;
 use super::{mean_objective, CYCLE};
 use crate::interface::*;
@@ -43,6 +42,8 @@
 /// each cycle: more is untested. A mean in place of the peak would refuse the chance bursts of tiny counts.
 const CAPACITY_ROOM: f64 = 2.0;
 const PEAK_KEPT: f64 = 0.95;
+/// Repeats that can be saved up.
+pub(super) const RETRY_SAVED: f64 = 10.0;
 /// Part of the room that a request of no worth may find used; more for more worth.
 const WORTHLESS_ROOM: f64 = 0.5;
 
--- a/crates/oakflow/src/policy/attempts.rs
+++ b/crates/oakflow/src/policy/attempts.rs
@@ -1,5 +1,5 @@
 //! Attempts and retries: what is sent, sent again, given up, and what an ending tells.
-use super::admission::{lateness, LATENESS_MOST};
+use super::admission::{lateness, LATENESS_MOST, RETRY_SAVED};
 use super::chance::unit;
 use super::pick::PickRequest;
 use super::{Balancer, CYCLE};
@@ -13,7 +13,6 @@
 const AIM_PART: f64 = 0.98;
 /// Further attempts allowed per request on average: a failing tier is not sent a multiple.
 const RETRY_RATIO: f64 = 0.2;
-pub(super) const RETRY_SAVED: f64 = 10.0;
 /// Part of the cold budget that is used; the rest absorbs chance and calls heavier than average.
 const COLD_MARGIN: f64 = 0.5;
 
--- a/crates/oakflow/src/policy/mod.rs
+++ b/crates/oakflow/src/policy/mod.rs
@@ -12,8 +12,8 @@
 mod pick;
 
 use crate::interface::*;
-use admission::{Admission, SUCCESS_WANTED};
-use attempts::{Pending, RETRY_SAVED};
+use admission::{Admission, RETRY_SAVED, SUCCESS_WANTED};
+use attempts::Pending;
 use chance::unit;
 use hopeless::Fastest;
 use members::Fleet;
--- a/crates/routes/src/path.rs
+++ b/crates/routes/src/path.rs
@@ -19,6 +19,8 @@
     Escape,
     /// A `\`, which some take for `/`.
     Backslash,
+    /// A `;`, behind which some take what follows for no part of the segment (section 3.3).
+    Parameters,
     /// It has more segments than are looked at.
     Long,
 }
@@ -32,6 +34,7 @@
             Unclear::Empty => "the path has an empty segment",
             Unclear::Escape => "the path has an escape that is none, or hides a character",
             Unclear::Backslash => "the path has a backslash",
+            Unclear::Parameters => "the path has a ; in a segment",
             Unclear::Long => "the path has too many segments",
         }
     }
@@ -58,6 +61,9 @@
         if part.contains('\\') {
             return Err(Unclear::Backslash);
         }
+        if part.contains(';') {
+            return Err(Unclear::Parameters);
+        }
         all.push(segment(part)?);
     }
     Ok(all)
@@ -74,7 +80,7 @@
         let digits = part.get(at + 1..at + 3).filter(|d| d.bytes().all(|b| b.is_ascii_hexdigit()));
         let byte = digits.and_then(|d| u8::from_str_radix(d, 16).ok()).ok_or(Unclear::Escape)?;
         // Unreserved ones (section 2.3) mean the same with and without: somebody will compare them as they are.
-        if byte.is_ascii_alphanumeric() || b"-._~/\\%".contains(&byte) || byte < 0x20 || byte == 0x7f {
+        if byte.is_ascii_alphanumeric() || b"-._~/\\%;".contains(&byte) || byte < 0x20 || byte == 0x7f {
             return Err(Unclear::Escape);
         }
         at += 3;
--- a/crates/routes/tests/routes.rs
+++ b/crates/routes/tests/routes.rs
@@ -141,6 +141,8 @@
         ("/a%25", Unclear::Escape),
         ("/a%\u{e9}1", Unclear::Escape),
         ("/a\\b", Unclear::Backslash),
+        ("/admin;x=1/a", Unclear::Parameters),
+        ("/admin%3bx", Unclear::Escape),
     ] {
         assert_eq!(segments(text), Err(wanted), "{text:?}");
     }
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -6,20 +6,13 @@
 use crate::fastcgi::{FastCgi, RawFastCgi};
 use crate::registry::{RawConsul, RawRegistry, RawStatic, Registry};
 use crate::routing::{RawRouting, Routing};
-pub use crate::values::Fault;
 use crate::values::{path_value, quantity, read_text, Quantity};
+pub use crate::values::{read_whole, Fault, FILE_MOST};
 use serde::Deserialize;
-use std::fs::File;
-use std::io::{ErrorKind, Read};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use toml::Spanned;
 
-/// Largest operator's file that is read.
-pub const FILE_MOST: u64 = 1 << 20;
-/// How often a file that changes while it is read is read again.
-const READS: usize = 5;
-
 /// One table: its keys with type, default, bounds, and whether they may change while the program runs.
 macro_rules! table {
     ($(#[$about:meta])* $name:ident, $raw:ident, $path:literal, {
@@ -226,42 +219,6 @@
     Ok(operator)
 }
 
-/// Reads a file whole that may be replaced meanwhile: what is returned stood in it at one time.
-///
-/// # Errors
-/// It is no regular file, holds more than `most` bytes, can't be read, or goes on changing.
-pub fn read_whole(path: &Path, most: u64) -> Result<Vec<u8>, String> {
-    let plain = |e: std::io::Error| e.to_string();
-    // Before it is opened: opening a pipe would wait for its writer.
-    let kind = std::fs::metadata(path).map_err(plain)?;
-    if kind.is_dir() {
-        return Err("is a directory".into());
-    }
-    if !kind.is_file() {
-        return Err("is no regular file".into());
-    }
-    for _ in 0..READS {
-        let mut file = File::open(path).map_err(plain)?;
-        let before = file.metadata().map_err(plain)?;
-        let mut bytes = Vec::new();
-        match file.by_ref().take(most + 1).read_to_end(&mut bytes) {
-            Ok(_) => {}
-            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-            Err(e) => return Err(e.to_string()),
-        }
-        if bytes.len() as u64 > most {
-            return Err(format!("holds more than {most} bytes"));
-        }
-        let after = file.metadata().map_err(plain)?;
-        // Guards against the half of a file that is being written in place: replaced by renaming it is whole.
-        let same = before.modified().ok() == after.modified().ok() && after.len() == bytes.len() as u64;
-        if same {
-            return Ok(bytes);
-        }
-    }
-    Err("changes while it is read".into())
-}
-
 /// Reads the operator's file.
 ///
 /// # Errors
--- a/crates/settings/src/routing.rs
+++ b/crates/settings/src/routing.rs
@@ -1,6 +1,5 @@
 //! Routing files: pools, routes and expectations in TOML. `deploy/routes.example.toml` documents every key.
-use crate::operator::{read_whole, FILE_MOST};
-use crate::values::{fault_at, read_text, Fault, Quantity};
+use crate::values::{fault_at, read_text, read_whole, Fault, Quantity, FILE_MOST};
 use crate::Deployment;
 use oakflow::Effect;
 use routes::expect::prove;
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -1,10 +1,17 @@
 //! Values of the operator's files: quantities with units, paths, and where a fault is.
 use serde::Deserialize;
 use std::fmt;
-use std::path::PathBuf;
+use std::fs::File;
+use std::io::{ErrorKind, Read};
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 use toml::Spanned;
 
+/// Largest operator's file that is read.
+pub const FILE_MOST: u64 = 1 << 20;
+/// How often a file that changes while it is read is read again.
+const READS: usize = 5;
+
 /// What is wrong with a file, and where.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Fault {
@@ -152,3 +159,39 @@
     })?;
     Ok((text, raw))
 }
+
+/// Reads a file whole that may be replaced meanwhile: what is returned stood in it at one time.
+///
+/// # Errors
+/// It is no regular file, holds more than `most` bytes, can't be read, or goes on changing.
+pub fn read_whole(path: &Path, most: u64) -> Result<Vec<u8>, String> {
+    let plain = |e: std::io::Error| e.to_string();
+    // Before it is opened: opening a pipe would wait for its writer.
+    let kind = std::fs::metadata(path).map_err(plain)?;
+    if kind.is_dir() {
+        return Err("is a directory".into());
+    }
+    if !kind.is_file() {
+        return Err("is no regular file".into());
+    }
+    for _ in 0..READS {
+        let mut file = File::open(path).map_err(plain)?;
+        let before = file.metadata().map_err(plain)?;
+        let mut bytes = Vec::new();
+        match file.by_ref().take(most + 1).read_to_end(&mut bytes) {
+            Ok(_) => {}
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            Err(e) => return Err(e.to_string()),
+        }
+        if bytes.len() as u64 > most {
+            return Err(format!("holds more than {most} bytes"));
+        }
+        let after = file.metadata().map_err(plain)?;
+        // Guards against the half of a file that is being written in place: replaced by renaming it is whole.
+        let same = before.modified().ok() == after.modified().ok() && after.len() == bytes.len() as u64;
+        if same {
+            return Ok(bytes);
+        }
+    }
+    Err("changes while it is read".into())
+}
