--- a/crates/routes/src/pattern.rs
+++ b/crates/routes/src/pattern.rs
@@ -1,5 +1,6 @@
 //! Patterns of paths and hosts, as lists of segments; and what is left of one without some others.
 use crate::path::{segments, SEGMENTS_MOST};
+use std::sync::Arc;
 
 /// A pattern of segments.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -103,13 +104,14 @@
 pub struct Region {
     /// Matched.
     pub is: Pattern,
-    /// Not matched.
-    pub but: Vec<Pattern>,
+    /// Not matched. Shared: a proof carries the same ones through many regions.
+    pub but: Vec<Arc<Pattern>>,
 }
 
 /// A text that no pattern names.
 fn fresh(region: &Region) -> String {
-    let texts = || region.but.iter().chain([&region.is]).flat_map(|p| p.segments.iter().flatten());
+    let texts =
+        || region.but.iter().map(|p| &**p).chain([&region.is]).flat_map(|p| p.segments.iter().flatten());
     let mut name = "x".to_string();
     while texts().any(|t| **t == *name) {
         name.push('x');
@@ -131,10 +133,10 @@
     /// What both hold; `None`: nothing.
     pub fn meet(&self, other: &Region) -> Option<Region> {
         let is = self.is.meet(&other.is)?;
-        let mut but: Vec<Pattern> = Vec::new();
+        let mut but: Vec<Arc<Pattern>> = Vec::new();
         // Only what takes something away.
         for pattern in self.but.iter().chain(&other.but) {
-            if pattern.meet(&is).is_some() && !but.contains(pattern) {
+            if pattern.meets(&is) && !but.contains(pattern) {
                 but.push(pattern.clone());
             }
         }
@@ -145,12 +147,12 @@
     /// What it holds and the other does not, as regions that have nothing in common.
     pub fn without(&self, other: &Region) -> Vec<Region> {
         let mut outside = self.clone();
-        if other.is.meet(&self.is).is_some() {
-            outside.but.push(other.is.clone());
+        if other.is.meets(&self.is) {
+            outside.but.push(Arc::new(other.is.clone()));
         }
         let mut all: Vec<Region> = outside.example().is_some().then_some(outside).into_iter().collect();
         // And what the other leaves out, piece by piece.
-        let mut before: Vec<Pattern> = Vec::new();
+        let mut before: Vec<Arc<Pattern>> = Vec::new();
         for hole in &other.but {
             let Some(is) = self.is.meet(&other.is).and_then(|is| is.meet(hole)) else { continue };
             let but = self.but.iter().chain(&before).cloned().collect();
