The test of pools by source waits until both sources have told

Cause: an instance is ready once it knows any member, so that the other source's pool may be empty for a moment; the test took it for told. Change: it waits for each.

--- a/crates/herondock/tests/routing.rs
+++ b/crates/herondock/tests/routing.rs
@@ -198,6 +198,9 @@
         [[route]]\nname = \"rest\"\nprecedence = 9\nto = \"listed\"\n";
     let own = format!("[[static]]\nid = \"f\"\naddr = \"{}\"\nzone = \"a\"\nkind = \"m\"\n", fixed.addr);
     let node = started_with(&Files::new(table, "", &own), &[&listed]);
+    // It is ready once it knows anybody: the other source may tell a moment later.
+    until("both sources have told", || answer(&node, &request("r", "/api/x", "club", "")).0 == 200);
+    until("both sources have told", || answer(&node, &request("r", "/api/fixed", "club", "")).0 == 200);
     for _ in 0..10 {
         assert_eq!(answer(&node, &request("r", "/api/x", "club", "")), (200, "listed".into()));
         assert_eq!(answer(&node, &request("r", "/api/fixed", "club", "")), (200, "fixed".into()));
