--- a/crates/oakflow/src/policy/admission.rs
+++ b/crates/oakflow/src/policy/admission.rs
@@ -152,7 +152,7 @@
         self.end_cycle(now);
     }
 
-    /// Whether a tenant may have another repeat: a slow dependency is not sent a multiple for one of them either.
+    /// Whether a tenant may have another repeat: a slow dependency gets no multiple for one of them either.
     pub(super) fn may_repeat(&self, tenant: usize) -> bool {
         self.tenant_retries <= 0.0 || self.tenants[tenant.min(self.tenants.len() - 1)].retries >= 1.0
     }
@@ -162,7 +162,7 @@
         self.tenants[tenant].retries -= 1.0;
     }
 
-    /// Counts the request as demand and decides whether it passes. What is worth less finds less room, and none
+    /// Counts the request as demand and decides whether it passes. What is worth less finds less room, none
     /// within its tenant's limit once the total is full: a late repeat goes before a first try.
     pub(super) fn admit(&mut self, tenant: usize, worth: f64, now: Millis) -> bool {
         let tenant = tenant.min(self.tenants.len() - 1);
--- a/crates/oakflow/src/policy/hopeless.rs
+++ b/crates/oakflow/src/policy/hopeless.rs
@@ -1,5 +1,5 @@
-//! Requests that can't be answered in time any more, judged by the fastest answers of their class: worked on, they
-//! would take the place of others for an answer that nobody waits for.
+//! Requests that can't be answered in time any more, judged by the fastest answers of their class: worked on,
+//! they would take the place of others for an answer that nobody waits for.
 use crate::interface::Millis;
 
 /// The part of answers that come sooner than what counts as the fastest.
