A front that asks first leaves a connection whose end has just been announced

The stand-in for a front asked /-/ready on a new connection, was told 200 with 'Connection: close' by the old process of a take-over, and wrote a request on it all the same; it met the close. Change: such a connection is left and the address is tried again, three times at most; a test with an old and a new end.

--- a/crates/testkit/src/caller.rs
+++ b/crates/testkit/src/caller.rs
@@ -122,6 +122,9 @@
     format!("{:x}-{:x}", std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed))
 }
 
+/// How many new connections to an address are tried, one after the other, while each is told to close.
+const FRESH: usize = 3;
+
 enum Try {
     Answer(Message),
     /// The connection could not be made or ended before anything was sent on it.
@@ -235,11 +238,7 @@
             if let Some(stream) = self.kept.remove(&addr) {
                 return Some((name, addr, stream, true));
             }
-            let fresh = connect(addr, patience);
-            self.unconnected += u64::from(fresh.is_none());
-            let stream =
-                fresh.and_then(|stream| if self.asks { ready(stream, patience) } else { Some(stream) });
-            if let Some(stream) = stream {
+            if let Some(stream) = self.fresh(addr, patience) {
                 let link = if self.fastcgi {
                     Link::FastCgi(Box::new(WebServer::on(stream)))
                 } else {
@@ -251,6 +250,28 @@
         None
     }
 
+    /// A new connection that requests may be written on. Guards against one whose other end has just said that it
+    /// closes: an old process that answers the last callers of its listener. Whoever has the address now is next.
+    fn fresh(&mut self, addr: SocketAddr, patience: Duration) -> Option<BufReader<TcpStream>> {
+        for _ in 0..FRESH {
+            let Some(mut stream) = connect(addr, patience) else {
+                self.unconnected += 1;
+                return None;
+            };
+            if !self.asks {
+                return Some(stream);
+            }
+            let answer = asked_ready(&mut stream, patience)?;
+            if answer.status() != 200 {
+                return None;
+            }
+            if !closes(&answer) {
+                return Some(stream);
+            }
+        }
+        None
+    }
+
     fn attempt(&mut self, operation: &Operation, key: &str, patience: Duration) -> Try {
         if self.balancers.is_empty() || patience.is_zero() {
             return Try::Unreached;
@@ -275,7 +296,7 @@
                 Asked::Closed | Asked::Broken => return Try::Unanswered,
             };
             self.ledger.write(Entry::Answered { request, status: answer.status() });
-            if answer.header("connection").is_none_or(|c| !c.eq_ignore_ascii_case("close")) {
+            if !closes(&answer) {
                 self.kept.insert(addr, link);
             }
             return Try::Answer(answer);
@@ -289,11 +310,16 @@
     Some(BufReader::new(stream))
 }
 
-/// The connection, if whoever is at its other end says that it is ready.
-fn ready(mut stream: BufReader<TcpStream>, patience: Duration) -> Option<BufReader<TcpStream>> {
+/// What whoever is at its other end says of being ready.
+fn asked_ready(stream: &mut BufReader<TcpStream>, patience: Duration) -> Option<Message> {
     stream.get_mut().set_read_timeout(Some(patience)).ok()?;
     stream.get_mut().write_all(b"GET /-/ready HTTP/1.1\r\nHost: front\r\n\r\n").ok()?;
-    (read(&mut stream)?.status() == 200).then_some(stream)
+    read(stream)
+}
+
+/// Whether its connection ends behind this answer (RFC 9112, section 9.6).
+fn closes(answer: &Message) -> bool {
+    answer.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"))
 }
 
 /// One connection of a caller's.
--- a/crates/testkit/tests/standins.rs
+++ b/crates/testkit/tests/standins.rs
@@ -1,11 +1,12 @@
 //! The stand-ins themselves: what a test relies on when it believes them.
+use std::io::{BufReader, Write};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use testkit::caller::{Caller, Client, Operation, Outcome};
 use testkit::discovery::{Listed, Registry};
 use testkit::ledger::{Effect, Entry, Fault, Figures, Ledger};
-use testkit::message::{get, ok_text};
+use testkit::message::{get, ok_text, read};
 use testkit::script::Script;
 use testkit::upstream::{ok, status, Options, Then, Upstream};
 
@@ -56,6 +57,34 @@
     assert_eq!(ledger.check(&Figures::default()), []);
 }
 
+/// Guards against a caller that writes a request on a connection whose end has been announced with the answer before
+/// it, and counts as lost what could not be answered there.
+#[test]
+fn a_caller_that_asks_first_leaves_a_connection_that_closes() {
+    let ledger = Arc::new(Ledger::new());
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("binds");
+    let addr = listener.local_addr().expect("an address");
+    let old_and_new = thread::spawn(move || {
+        // The old process says that it closes, and does; the new one serves.
+        for close in ["Connection: close\r\n", ""] {
+            let mut stream = BufReader::new(listener.accept().expect("a caller").0);
+            read(&mut stream).expect("asks");
+            let ready = format!("HTTP/1.1 200 OK\r\n{close}Content-Length: 0\r\n\r\n");
+            stream.get_mut().write_all(ready.as_bytes()).expect("writes");
+            if close.is_empty() {
+                read(&mut stream).expect("a request");
+                stream.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("writes");
+            }
+        }
+    });
+    let mut caller = Caller::new(ledger.clone(), 3).asks_first();
+    caller.reach("n1", addr);
+    let done = caller.call(&operation(Effect::Unsafe));
+    assert!(matches!((done.outcome, done.tries), (Outcome::Served { .. }, 1)), "{done:?}");
+    old_and_new.join().expect("no panic");
+    assert!(ledger.check(&Figures::default()).iter().all(|v| v.fault != Fault::AnswerLost));
+}
+
 /// Guards against a caller that takes a connection closed between two requests for a lost answer.
 #[test]
 fn a_request_that_crosses_the_end_of_its_connection_is_sent_once_more() {
