--- a/crates/herondock/src/driver.rs
+++ b/crates/herondock/src/driver.rs
@@ -71,7 +71,7 @@
     sent: Instant,
     task: AbortHandle,
     due: (Instant, u64),
-    hop: Rc<Hop>,
+    hop: Option<Rc<Hop>>,
 }
 
 enum Due {
@@ -431,8 +431,10 @@
         let wait = if timeout > 0.0 { timeout.min(left) } else { left };
         let until = now + Duration::from_secs_f64(wait / 1000.0);
         open.running += 1;
-        let grant = open.purse.as_mut().map_or(0, |purse| purse.send(number, tells));
-        let hop = Rc::new(Hop { grant, ..Hop::default() });
+        let hop = open.purse.as_mut().map(|purse| {
+            let grant = purse.send(number, tells);
+            Rc::new(Hop { grant, ..Hop::default() })
+        });
         let attempt = Attempt { request: open.out.clone(), gate, until, hop: hop.clone() };
         let handle = self.clone();
         if target.oldest_idle().is_none() && d.sockets.exhausted() {
@@ -469,7 +471,7 @@
         self.forget_upstream(attempt.upstream);
         let duration = attempt.sent.elapsed().as_secs_f64() * 1000.0;
         let mut closed = true;
-        let told = attempt.hop.told.get();
+        let told = attempt.hop.as_ref().and_then(|hop| hop.told.get());
         if matches!(ending, Ending::Ok | Ending::Error | Ending::Full) {
             if let Some(known) = self.upstreams.get_mut(&attempt.upstream) {
                 known.hearing.answered(told.is_some());
--- a/crates/herondock/src/exchange.rs
+++ b/crates/herondock/src/exchange.rs
@@ -80,7 +80,7 @@
     /// The whole body.
     pub body: Bytes,
     /// What it may still use, where budgets are on.
-    pub budget: Option<Carried>,
+    pub budget: Option<Box<Carried>>,
     /// Most attempts, if its route allows fewer than its class.
     pub attempts: Option<u32>,
     /// Set when the request has ended: what has not been written for it by then must not be.
@@ -187,24 +187,24 @@
     pub gate: Rc<Gate>,
     /// When it is given up.
     pub until: Instant,
-    /// Its part of the budget.
-    pub hop: Rc<Hop>,
+    /// Its part of the budget, where budgets are on.
+    pub hop: Option<Rc<Hop>>,
 }
 
 impl Attempt {
     /// The fields of the budget, to be written with the request: what is left of the time counts from now, so that no
     /// clock is passed on.
     pub fn carried(&self, now: Instant) -> Option<[(&str, String); 2]> {
-        let Carried { budget, names } = self.request.budget.as_ref()?;
+        let Carried { budget, names } = self.request.budget.as_deref()?;
         let left = self.until.saturating_duration_since(now).as_secs_f64() * 1000.0;
-        let value = grammar::write_budget(left, self.hop.grant, budget.worth);
+        let value = grammar::write_budget(left, self.hop.as_ref().map_or(0, |hop| hop.grant), budget.worth);
         Some([(&names.budget, value), (&names.path, budget.path.text().into())])
     }
 
     /// Takes note of what an answer tells, given its field of this name; the field goes no further.
     pub fn answered<'a>(&self, field: impl FnOnce(&str) -> Option<&'a [u8]>) {
-        if let Some(carried) = &self.request.budget {
-            self.hop.told.set(field(&carried.names.used).and_then(grammar::read_used));
+        if let (Some(carried), Some(hop)) = (&self.request.budget, &self.hop) {
+            hop.told.set(field(&carried.names.used).and_then(grammar::read_used));
         }
     }
 
--- a/crates/herondock/src/front/fastcgi.rs
+++ b/crates/herondock/src/front/fastcgi.rs
@@ -461,7 +461,8 @@
                     },
                 })?)
             }
-        };
+        }
+        .map(Box::new);
         let told = budget.as_ref().is_some_and(|carried| carried.budget.told);
         let own: Vec<String> = match &self.budgets {
             None => Vec::new(),
@@ -487,13 +488,13 @@
         let asked = Asked {
             front: 1,
             method: usize::from(method == Method::Post),
-            host: match request.params.iter().filter(|(n, _)| n == "HTTP_HOST").count() {
+            host: &|| match request.params.iter().filter(|(n, _)| n == "HTTP_HOST").count() {
                 0 => Some(param("SERVER_NAME").unwrap_or("")),
                 _ => param("HTTP_HOST"),
             },
             target: &target,
-            key: request.params.iter().find(|(n, _)| n == names.key.as_bytes()).map(|(_, v)| &v[..]),
-            id: param(&names.id).unwrap_or("").as_bytes(),
+            key: &|| request.params.iter().find(|(n, _)| n == names.key.as_bytes()).map(|(_, v)| &v[..]),
+            id: &|| param(&names.id).unwrap_or("").as_bytes(),
             headers: &headers,
         };
         let taken = self.driver.take(&asked, class, tenant, patience, out);
--- a/crates/herondock/src/front/http.rs
+++ b/crates/herondock/src/front/http.rs
@@ -318,20 +318,23 @@
         &self,
         headers: &HeaderMap,
         patience: f64,
-    ) -> Result<Option<Carried>, Box<Response<Full<Bytes>>>> {
+    ) -> Result<Option<Box<Carried>>, Box<Response<Full<Bytes>>>> {
         let Some(budgets) = &self.budgets else { return Ok(None) };
         let all =
             |name: &str| -> Vec<&[u8]> { headers.get_all(name).iter().map(HeaderValue::as_bytes).collect() };
         let (budget, path) = (all(&budgets.names.budget), all(&budgets.names.path));
         let repeated = headers.get(REPEATED).is_some_and(|v| v == "1");
-        budgets.carried(Side::Http, (&budget, &path), patience, repeated).map(Some).map_err(|why| match why {
-            NotTaken::Bad(bad) => Box::new(refuse_input(StatusCode::BAD_REQUEST, &bad.to_string())),
-            NotTaken::Refused(why) => {
-                let mut response = refuse_input(StatusCode::SERVICE_UNAVAILABLE, &why.to_string());
-                self.tell(&mut response, Some(Used { retries: 0, stop: Some(why.stop()) }), true);
-                Box::new(response)
-            }
-        })
+        budgets
+            .carried(Side::Http, (&budget, &path), patience, repeated)
+            .map(|carried| Some(Box::new(carried)))
+            .map_err(|why| match why {
+                NotTaken::Bad(bad) => Box::new(refuse_input(StatusCode::BAD_REQUEST, &bad.to_string())),
+                NotTaken::Refused(why) => {
+                    let mut response = refuse_input(StatusCode::SERVICE_UNAVAILABLE, &why.to_string());
+                    self.tell(&mut response, Some(Used { retries: 0, stop: Some(why.stop()) }), true);
+                    Box::new(response)
+                }
+            })
     }
 
     /// Reads a request whole and hands it to the driver. Whether its caller is told what was used.
@@ -386,35 +389,39 @@
             carried.budget.left
         });
         let told = budget.as_ref().is_some_and(|carried| carried.budget.told);
-        let mut except = vec![DEADLINE];
-        if let Some(Carried { names, .. }) = &budget {
-            except
-                .extend([&names.budget, &names.path, &names.used].into_iter().flat_map(HeaderName::try_from));
-        }
+        let own: Vec<HeaderName> = budget
+            .iter()
+            .flat_map(|carried| {
+                let names = &carried.names;
+                [&names.budget, &names.path, &names.used].into_iter().flat_map(HeaderName::try_from)
+            })
+            .collect();
         let request = Request {
             name: head.headers.get("req-id").map(|id| Bytes::copy_from_slice(id.as_bytes())),
             method,
             target: head.uri.path_and_query().map_or("/", |p| p.as_str()).into(),
-            fields: fields(&head.headers, &except),
+            fields: fields(&head.headers, |name| *name == DEADLINE || own.contains(name)),
             body,
             budget,
             attempts: None,
             over: Cell::new(false),
         };
         // Upstreams get the header, so that a target with a host of its own must say the same.
-        let mut hosts = head.headers.get_all(header::HOST).iter().map(|h| h.to_str().ok());
-        let host = match (hosts.next(), hosts.next(), head.uri.authority()) {
-            (None, _, authority) => Some(authority.map_or("", |a| a.as_str())),
-            (Some(host), None, authority) => host.filter(|h| authority.is_none_or(|a| a.as_str() == *h)),
-            _ => None,
+        let host = || {
+            let mut hosts = head.headers.get_all(header::HOST).iter().map(|h| h.to_str().ok());
+            match (hosts.next(), hosts.next(), head.uri.authority()) {
+                (None, _, authority) => Some(authority.map_or("", |a| a.as_str())),
+                (Some(host), None, authority) => host.filter(|h| authority.is_none_or(|a| a.as_str() == *h)),
+                _ => None,
+            }
         };
         let asked = Asked {
             front: 0,
             method: usize::from(method == Method::Post),
-            host,
+            host: &host,
             target: head.uri.path_and_query().map_or("/", |p| p.as_str()),
-            key: head.headers.get(KEY.header).map(HeaderValue::as_bytes),
-            id: head.headers.get("req-id").map_or(b"", |id| id.as_bytes()),
+            key: &|| head.headers.get(KEY.header).map(HeaderValue::as_bytes),
+            id: &|| head.headers.get("req-id").map_or(b"", |id| id.as_bytes()),
             headers: &|name| head.headers.get_all(name).iter().map(HeaderValue::as_bytes).collect(),
         };
         let taken = self.driver.take(&asked, class, tenant, patience, request);
--- a/crates/herondock/src/http.rs
+++ b/crates/herondock/src/http.rs
@@ -29,9 +29,9 @@
     HOP.iter().chain(&own).any(|hop| hop.as_str().as_bytes().eq_ignore_ascii_case(name))
 }
 
-/// The end-to-end headers of a message as fields, but for those named here: without what belongs to one connection
+/// The end-to-end headers of a message as fields, but for those left out here: without what belongs to one connection
 /// (RFC 9110, section 7.6.1), and without the length of the body, which is framed anew.
-pub fn fields(headers: &HeaderMap, except: &[HeaderName]) -> Fields {
+pub fn fields(headers: &HeaderMap, except: impl Fn(&HeaderName) -> bool) -> Fields {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
@@ -41,7 +41,7 @@
         .collect();
     let kept = |name: &HeaderName| {
         let out = [header::CONTENT_LENGTH, header::EXPECT];
-        !(HOP.contains(name) || out.contains(name) || named.contains(name) || except.contains(name))
+        !(HOP.contains(name) || out.contains(name) || named.contains(name) || except(name))
     };
     let kept = headers.iter().filter(|(name, _)| kept(name));
     Fields::new(kept.map(|(name, value)| (name.as_str(), value.as_bytes())))
--- a/crates/herondock/src/routing/ask.rs
+++ b/crates/herondock/src/routing/ask.rs
@@ -7,20 +7,20 @@
 use std::borrow::Cow;
 use std::time::Duration;
 
-/// What a front knows of a request.
+/// What a front knows of a request; what has to be looked up is asked for only where there is a table.
 pub struct Asked<'a> {
     /// The front, by its position in [`cube::FRONTS`].
     pub front: usize,
     /// The method, by its position in [`cube::METHODS`].
     pub method: usize,
     /// The host, perhaps with a port, empty if there is none; `None`: there are several.
-    pub host: Option<&'a str>,
+    pub host: &'a dyn Fn() -> Option<&'a str>,
     /// Path and query.
     pub target: &'a str,
     /// The key by which upstreams drop repeats.
-    pub key: Option<&'a [u8]>,
+    pub key: &'a dyn Fn() -> Option<&'a [u8]>,
     /// The request's id.
-    pub id: &'a [u8],
+    pub id: &'a dyn Fn() -> &'a [u8],
     /// Every value of a header, by its name in small letters.
     pub headers: &'a dyn Fn(&str) -> Vec<&'a [u8]>,
 }
@@ -70,7 +70,7 @@
     ) -> Result<Query<'q, 'a>, Turned> {
         let path = asked.target.split('?').next().unwrap_or("");
         let path = segments(path).map_err(|why| Turned::Unclear(why.words()))?;
-        let host = asked.host.ok_or(Turned::Unclear("there are several hosts"))?;
+        let host = (asked.host)().ok_or(Turned::Unclear("there are several hosts"))?;
         let name = match host.rsplit_once(':') {
             Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
             _ => host,
@@ -105,7 +105,7 @@
         club: usize,
     ) -> Option<(&'t Compiled, Option<usize>)> {
         let route = self.asks(class, club, |query| table.route(query))?;
-        Some((route, table.pool(route, self.asked.key, club, self.asked.id)))
+        Some((route, table.pool(route, (self.asked.key)(), club, (self.asked.id)())))
     }
 
     fn asks<R>(&self, class: usize, club: usize, ask: impl FnOnce(&cube::Query) -> R) -> R {
@@ -117,7 +117,7 @@
             method: self.asked.method,
             class,
             club,
-            keyed: self.asked.key.is_some(),
+            keyed: (self.asked.key)().is_some(),
             host: &host,
             path: &path,
             header: &header,
--- a/crates/herondock/src/routing/mod.rs
+++ b/crates/herondock/src/routing/mod.rs
@@ -73,7 +73,7 @@
     waiting: Waiting,
     /// Alive while requests of it are open.
     _pool: Option<Rc<Pool>>,
-    fallback: Option<Fallback>,
+    fallback: Option<Box<Fallback>>,
 }
 
 struct Fallback {
@@ -89,7 +89,8 @@
     pub async fn answer(self) -> Final {
         let Taken { waiting, fallback, _pool } = self;
         let first = waiting.answer().await;
-        let Some(Fallback { pool, class, tenant, until, request }) = fallback else { return first };
+        let Some(fallback) = fallback else { return first };
+        let Fallback { pool, class, tenant, until, request } = *fallback;
         if first.ran || !matches!(first.answer, Answer::Refused { .. }) {
             return first;
         }
@@ -358,12 +359,9 @@
         }
         let patience = time_ms.map_or(patience, |ms| patience.min(ms as f64));
         request.attempts = attempts;
-        let fallback = fallback.map(|pool| Fallback {
-            pool,
-            class,
-            tenant,
-            until: Instant::now() + Duration::from_secs_f64(patience.max(0.0) / 1000.0),
-            request: request.again(),
+        let fallback = fallback.map(|pool| {
+            let until = Instant::now() + Duration::from_secs_f64(patience.max(0.0) / 1000.0);
+            Box::new(Fallback { pool, class, tenant, until, request: request.again() })
         });
         let waiting = pool.handle.take(class, tenant, patience, request).map_err(Turned::Untaken)?;
         Ok(Taken { waiting, _pool: routed.then_some(pool), fallback })
--- a/crates/herondock/src/routing/show.rs
+++ b/crates/herondock/src/routing/show.rs
@@ -62,10 +62,10 @@
     let asked = Asked {
         front: position("front", &fronts, Some(&d.front))?,
         method: position("method", &methods, Some(&d.method))?,
-        host: Some(&d.host),
+        host: &|| Some(&d.host),
         target: &d.path,
-        key: d.key.as_deref().map(str::as_bytes),
-        id: b"",
+        key: &|| d.key.as_deref().map(str::as_bytes),
+        id: &|| b"",
         headers: &headers,
     };
     let query = match Query::of(&asked, table.headers.iter()) {
--- a/crates/herondock/src/transport/http.rs
+++ b/crates/herondock/src/transport/http.rs
@@ -117,7 +117,7 @@
         let answer = match ending {
             Ending::Ok => {
                 let used = attempt.used_field().and_then(|name| HeaderName::try_from(name).ok());
-                let fields = fields(&head.headers, used.as_slice());
+                let fields = fields(&head.headers, |name| used.as_ref() == Some(name));
                 Some(Answer::Served { fields, body: body.to_bytes() })
             }
             // Guards against callers whose bad input makes upstreams look bad: it says nothing about the upstream,
@@ -191,7 +191,7 @@
             over: Cell::new(false),
         };
         let until = Instant::now() + Duration::from_secs(5);
-        let (gate, hop) = (Rc::new(Gate::default()), Rc::default());
+        let (gate, hop) = (Rc::new(Gate::default()), None);
         Attempt { request: Rc::new(request), gate, until, hop }
     }
 
