crates/rules: the four rules are judged in one place, for the ledger and what comes next

Change: the judgement of a request, what closed upstreams are and what a cold one may be sent are types without I/O in a crate of their own; the ledger feeds them in the order of its records.

--- a/crates/testkit/src/ledger.rs
+++ b/crates/testkit/src/ledger.rs
@@ -21,6 +21,8 @@
 //! let found = ledger.check(&Figures::default());
 //! assert_eq!(found[0].fault, Fault::RefusedAfterRunning);
 //! ```
+pub use rules::{Cold, Effect, Fault, Figures, Rule, Scope, State};
+use rules::{News, Story, Warming};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -29,50 +31,6 @@
 /// Most entries that a ledger holds; a check of one that was told more says so.
 pub const ENTRIES_MOST: usize = 1 << 20;
 
-/// What repeating a request may do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Effect {
-    /// May run any number of times.
-    Safe,
-    /// Carries a key; a group of upstreams drops its repeats within a window.
-    Keyed,
-    /// Must never run twice.
-    Unsafe,
-}
-
-/// Whether an upstream takes new work, as a balancer was told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
-    /// Takes new work.
-    Ready,
-    /// Drains or is gone: takes none.
-    Closed,
-}
-
-/// How an upstream that has just started comes to its full capacity: evenly over `ramp` from `from`.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Cold {
-    /// Work that it does at once when warm.
-    pub cores: f64,
-    /// The part of its capacity that it starts with.
-    pub from: f64,
-    /// When it is warm.
-    pub ramp: Duration,
-}
-
-impl Cold {
-    /// What it can do from `a` to `b` after its start.
-    fn work(&self, a: Duration, b: Duration) -> Duration {
-        // The part that is there grows evenly: over a span it is its mean, the part at the middle.
-        let part = |at: Duration| {
-            let done = (at.as_secs_f64() / self.ramp.as_secs_f64().max(1e-9)).min(1.0);
-            self.from + (1.0 - self.from) * done
-        };
-        let mean = (part(a) + 4.0 * part((a + b) / 2) + part(b)) / 6.0;
-        (b - a).mul_f64(self.cores * mean)
-    }
-}
-
 /// Something that happened.
 #[derive(Clone, Debug)]
 pub enum Entry {
@@ -141,66 +99,6 @@
     },
 }
 
-/// The four rules.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Rule {
-    /// What a running balancer took gets exactly one final answer in time, and nothing is sent for it after that.
-    NoRequestLost,
-    /// An unsafe request runs once at most, a keyed one again only where its repeat is dropped.
-    NoEffectTwice,
-    /// Nothing new goes to an upstream after the grace.
-    DrainsKept,
-    /// A cold upstream is not sent more than a multiple of what it can do.
-    ColdNotPushedOver,
-}
-
-/// The ways to break them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Fault {
-    /// No answer came.
-    AnswerLost,
-    /// More than one came.
-    TwoAnswers,
-    /// It came after the caller had stopped waiting.
-    AnswerLate,
-    /// A request was served that no upstream had worked on.
-    ServedByNobody,
-    /// An attempt went out after the final answer.
-    SentAfterAnswer,
-    /// An unsafe request ran again.
-    UnsafeRepeated,
-    /// A keyed request ran again in another group.
-    KeyedOutsideGroup,
-    /// A keyed request ran again after the window.
-    KeyedOutsideWindow,
-    /// A request was refused that has run, where a repeat is not harmless.
-    RefusedAfterRunning,
-    /// An attempt went to an upstream that drains or is gone, after the grace.
-    SentAfterGrace,
-    /// A cold upstream was sent too much.
-    ColdPushedOver,
-    /// The ledger was told more than it holds.
-    LedgerFull,
-}
-
-impl Fault {
-    /// The rule that it breaks; `None` for a fault of the ledger itself.
-    pub fn rule(self) -> Option<Rule> {
-        use Fault::*;
-        match self {
-            AnswerLost | TwoAnswers | AnswerLate | ServedByNobody | SentAfterAnswer => {
-                Some(Rule::NoRequestLost)
-            }
-            UnsafeRepeated | KeyedOutsideGroup | KeyedOutsideWindow | RefusedAfterRunning => {
-                Some(Rule::NoEffectTwice)
-            }
-            SentAfterGrace => Some(Rule::DrainsKept),
-            ColdPushedOver => Some(Rule::ColdNotPushedOver),
-            LedgerFull => None,
-        }
-    }
-}
-
 /// A rule that was broken once.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Violation {
@@ -218,45 +116,6 @@
     }
 }
 
-/// Who drops the repeats of a keyed request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Scope {
-    /// Every upstream.
-    All,
-    /// Those of the group that it ran in first.
-    Group,
-}
-
-/// The rules in figures. [`Figures::default`] has the platform's.
-#[derive(Clone, Debug)]
-pub struct Figures {
-    /// Time limits are this much longer, for what the way takes.
-    pub slack: Duration,
-    /// How long after the news sends to an upstream may still begin.
-    pub grace: Duration,
-    /// Who drops repeats.
-    pub scope: Scope,
-    /// And for how long.
-    pub window: Duration,
-    /// How many times what it can do a cold upstream may be sent.
-    pub cold_multiple: f64,
-    /// Within any span of this length.
-    pub cold_span: Duration,
-}
-
-impl Default for Figures {
-    fn default() -> Self {
-        Figures {
-            slack: Duration::from_millis(50),
-            grace: Duration::from_secs(1),
-            scope: Scope::Group,
-            window: Duration::from_secs(4),
-            cold_multiple: 4.0,
-            cold_span: Duration::from_secs(1),
-        }
-    }
-}
-
 /// One entry and when it was written.
 #[derive(Clone, Debug)]
 pub struct Record {
@@ -286,16 +145,6 @@
     }
 }
 
-/// All that belongs to one request.
-#[derive(Default)]
-struct Story<'a> {
-    sent: Option<(Duration, &'a str, Effect, Duration)>,
-    answers: Vec<(Duration, u16)>,
-    left: Option<Duration>,
-    begun: Vec<(Duration, &'a str)>,
-    ran: Vec<(Duration, u32)>,
-}
-
 impl Ledger {
     /// An empty ledger for [`ENTRIES_MOST`] entries.
     pub fn new() -> Ledger {
@@ -354,163 +203,66 @@
             let whose = format!("{} entries found no room", books.dropped);
             found.push(Violation { fault: Fault::LedgerFull, at: self.now(), whose });
         }
-        let mut stories: BTreeMap<&str, Story> = BTreeMap::new();
+        let mut news: HashMap<(&str, &str), News> = HashMap::new();
+        // The story of each request, and who took it.
+        let mut stories: BTreeMap<&str, (Story, &str)> = BTreeMap::new();
+        let mut warming: HashMap<&str, Warming> = HashMap::new();
         for r in &records {
-            let Some(request) = request_of(&r.entry) else { continue };
-            let story = stories.entry(request).or_default();
             match &r.entry {
-                Entry::Sent { balancer, effect, patience, .. } => {
-                    let began = story.sent.map_or(r.at, |(at, ..)| at);
-                    story.sent = Some((began, balancer, *effect, *patience));
+                Entry::Sent { request, balancer, effect, patience } => {
+                    let fresh = || (Story::new(r.at, *effect, *patience), balancer.as_str());
+                    let (story, took) = stories.entry(request).or_insert_with(fresh);
+                    // On another connection: whoever has it now owes the answer.
+                    (story.excused, *took) = (false, balancer);
                 }
-                Entry::Answered { status, .. } => story.answers.push((r.at, *status)),
-                Entry::Left { .. } => story.left = Some(r.at),
-                Entry::Begun { upstream, .. } => story.begun.push((r.at, upstream)),
-                Entry::Executed { group, .. } => story.ran.push((r.at, *group)),
-                Entry::Told { .. } | Entry::Started { .. } | Entry::Killed { .. } => {}
-            }
-        }
-        let mut told: HashMap<(&str, &str), Vec<(Duration, State)>> = HashMap::new();
-        let mut killed: HashMap<&str, Duration> = HashMap::new();
-        for r in &records {
-            match &r.entry {
-                Entry::Told { balancer, upstream, state } => {
-                    told.entry((balancer, upstream)).or_default().push((r.at, *state));
+                Entry::Answered { request, status } => {
+                    if let Some((story, _)) = stories.get_mut(request.as_str()) {
+                        story.answers.push((r.at, *status));
+                    }
                 }
-                Entry::Killed { balancer } => {
-                    killed.insert(balancer, r.at);
+                Entry::Left { request } => {
+                    if let Some((story, _)) = stories.get_mut(request.as_str()) {
+                        story.left = Some(r.at);
+                    }
                 }
-                _ => {}
-            }
-        }
-        for (request, story) in &stories {
-            let Some((sent, balancer, effect, patience)) = story.sent else { continue };
-            let excused = killed.get(balancer).is_some_and(|&at| at >= sent);
-            let mut fault =
-                |fault, at| found.push(Violation { fault, at, whose: format!("request {request}") });
-            answers(story, (sent, patience), excused, figures, &mut fault);
-            effects(story, effect, figures, &mut fault);
-            for &(at, upstream) in &story.begun {
-                let news = told.get(&(balancer, upstream)).map_or(&[][..], Vec::as_slice);
-                if closed_for(news, at) > figures.grace + figures.slack {
-                    fault(Fault::SentAfterGrace, at);
+                Entry::Begun { upstream, request } => {
+                    if let Some((story, balancer)) = stories.get_mut(request.as_str()) {
+                        let news = news.get(&(*balancer, upstream.as_str()));
+                        let closed = news.map_or(Duration::ZERO, |news| news.closed_for(r.at));
+                        story.begun.push((r.at, closed));
+                    }
                 }
-            }
-        }
-        cold(&records, figures, &mut found);
-        found.sort_by_key(|v| v.at);
-        found
-    }
-}
-
-fn request_of(entry: &Entry) -> Option<&str> {
-    match entry {
-        Entry::Sent { request, .. }
-        | Entry::Answered { request, .. }
-        | Entry::Left { request }
-        | Entry::Begun { request, .. }
-        | Entry::Executed { request, .. } => Some(request),
-        Entry::Told { .. } | Entry::Started { .. } | Entry::Killed { .. } => None,
-    }
-}
-
-/// How long an upstream had been closed, by what a balancer had been told until then, counted from the first news.
-fn closed_for(news: &[(Duration, State)], at: Duration) -> Duration {
-    let mut closed = None;
-    for &(when, state) in news.iter().filter(|&&(when, _)| when <= at) {
-        closed = match state {
-            State::Ready => None,
-            State::Closed => closed.or(Some(when)),
-        };
-    }
-    closed.map_or(Duration::ZERO, |when| at - when)
-}
-
-fn answers(
-    story: &Story,
-    (sent, patience): (Duration, Duration),
-    excused: bool,
-    figures: &Figures,
-    fault: &mut impl FnMut(Fault, Duration),
-) {
-    match (story.answers.first(), story.left) {
-        (None, None) if !excused => fault(Fault::AnswerLost, sent),
-        (Some(&(at, _)), _) if at > sent + patience + figures.slack => fault(Fault::AnswerLate, at),
-        _ => {}
-    }
-    if let Some(&(at, _)) = story.answers.get(1) {
-        fault(Fault::TwoAnswers, at);
-    }
-    if let Some(&(at, 200)) = story.answers.first() {
-        if story.ran.iter().all(|&(ran, _)| ran > at) {
-            fault(Fault::ServedByNobody, at);
-        }
-    }
-    // Whichever came first ended it.
-    let over = story.answers.first().map(|&(at, _)| at).into_iter().chain(story.left).min();
-    if let Some(&(at, _)) = story.begun.iter().find(|&&(at, _)| over.is_some_and(|o| at > o + figures.slack))
-    {
-        fault(Fault::SentAfterAnswer, at);
-    }
-}
-
-fn effects(story: &Story, effect: Effect, figures: &Figures, fault: &mut impl FnMut(Fault, Duration)) {
-    let Some((&(first, group), again)) = story.ran.split_first() else { return };
-    match effect {
-        Effect::Safe => {}
-        Effect::Unsafe => again.iter().for_each(|&(at, _)| fault(Fault::UnsafeRepeated, at)),
-        Effect::Keyed => {
-            for &(at, other) in again {
-                if figures.scope == Scope::Group && other != group {
-                    fault(Fault::KeyedOutsideGroup, at);
+                Entry::Executed { upstream, group, request, work } => {
+                    if let Some((story, _)) = stories.get_mut(request.as_str()) {
+                        story.ran.push((r.at, *group));
+                    }
+                    let warming = warming.get_mut(upstream.as_str());
+                    let pushed = warming.and_then(|warming| warming.executed(r.at, *work, figures));
+                    if let Some((at, sum)) = pushed {
+                        let whose =
+                            format!("upstream {upstream}, sent {sum:?} of work in {:?}", figures.cold_span);
+                        found.push(Violation { fault: Fault::ColdPushedOver, at, whose });
+                    }
                 }
-                if at > first + figures.window + figures.slack {
-                    fault(Fault::KeyedOutsideWindow, at);
+                Entry::Told { balancer, upstream, state } => {
+                    news.entry((balancer, upstream)).or_default().told(r.at, *state);
                 }
-            }
-        }
-    }
-    let harmless = effect == Effect::Safe || (effect == Effect::Keyed && figures.scope == Scope::All);
-    for &(at, status) in &story.answers {
-        if matches!(status, 429 | 503) && !harmless {
-            fault(Fault::RefusedAfterRunning, at);
-        }
-    }
-}
-
-/// Looks at each span that begins with a piece of work; one request more than the budget is chance.
-fn cold(records: &[&Record], figures: &Figures, found: &mut Vec<Violation>) {
-    let mut starts: BTreeMap<&str, Vec<(Duration, Cold)>> = BTreeMap::new();
-    let mut work: HashMap<&str, Vec<(Duration, Duration)>> = HashMap::new();
-    for r in records {
-        match &r.entry {
-            Entry::Started { upstream, cold } => starts.entry(upstream).or_default().push((r.at, *cold)),
-            Entry::Executed { upstream, work: w, .. } => work.entry(upstream).or_default().push((r.at, *w)),
-            _ => {}
-        }
-    }
-    for (upstream, starts) in starts {
-        let all = work.get(upstream).map_or(&[][..], Vec::as_slice);
-        for (k, &(started, cold)) in starts.iter().enumerate() {
-            let end = starts.get(k + 1).map_or(Duration::MAX, |&(next, _)| next).min(started + cold.ramp);
-            let during: Vec<_> = all.iter().filter(|(at, _)| (started..end).contains(at)).collect();
-            let (mut last, mut sum) = (0, Duration::ZERO);
-            for (first, &&(from, own)) in during.iter().enumerate() {
-                while last < during.len() && during[last].0 < from + figures.cold_span {
-                    sum += during[last].1;
-                    last += 1;
+                Entry::Started { upstream, cold } => {
+                    warming.insert(upstream, Warming::new(r.at, *cold));
                 }
-                let since = from - started;
-                let room = cold.work(since, since + figures.cold_span).mul_f64(figures.cold_multiple);
-                let largest = during[first..last].iter().map(|(_, w)| *w).max().unwrap_or_default();
-                if sum > room + largest {
-                    let whose =
-                        format!("upstream {upstream}, sent {sum:?} of work in {:?}", figures.cold_span);
-                    found.push(Violation { fault: Fault::ColdPushedOver, at: from, whose });
-                    break;
+                Entry::Killed { balancer } => {
+                    for (story, of) in stories.values_mut() {
+                        story.excused |= of == balancer;
+                    }
                 }
-                sum = sum.saturating_sub(own);
             }
         }
+        for (request, (story, _)) in &stories {
+            let whose = || format!("request {request}");
+            let mut fault = |fault, at| found.push(Violation { fault, at, whose: whose() });
+            story.judge(figures, &mut fault);
+        }
+        found.sort_by_key(|v| v.at);
+        found
     }
 }
