--- a/crates/hashing/src/lib.rs
+++ b/crates/hashing/src/lib.rs
@@ -17,6 +17,22 @@
     siphasher::sip::SipHasher24::new_with_key(&key).hash(bytes)
 }
 
+/// [`stable`] over what comes bit by bit.
+#[derive(Default)]
+pub struct Digest(fnv::FnvHasher);
+
+impl Digest {
+    /// Takes a number, in the same order of bytes on every machine.
+    pub fn number(&mut self, n: u64) {
+        self.0.write(&n.to_le_bytes());
+    }
+
+    /// The hash of all so far.
+    pub fn value(&self) -> u64 {
+        self.0.finish()
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -32,6 +48,13 @@
         }
     }
 
+    #[test]
+    fn bit_by_bit_it_is_the_same() {
+        let mut digest = Digest::default();
+        digest.number(0x0102);
+        assert_eq!(digest.value(), stable(&[2, 1, 0, 0, 0, 0, 0, 0]));
+    }
+
     /// Guards against another one: instances of two versions would not know each other's marks.
     #[test]
     fn the_keyed_one_depends_on_both_and_stays() {
--- a/crates/herondock/benches/fastcgi.rs
+++ b/crates/herondock/benches/fastcgi.rs
@@ -248,7 +248,8 @@
         ("FastCGI to FastCGI, 8 at once", Speaks::FastCgi, (Speaks::FastCgi, 8)),
     ] {
         let counted = |requests: usize| {
-            let out = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("callgrind.out");
+            let out = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
+                .join(format!("callgrind {name} {requests}.out"));
             let program = Program::new("valgrind", env!("CARGO_TARGET_TMPDIR"));
             let file = format!("--callgrind-out-file={}", out.display());
             let before = ["--tool=callgrind".into(), file, herondock.to_string()];
--- a/crates/oakflow/src/policy/mod.rs
+++ b/crates/oakflow/src/policy/mod.rs
@@ -69,6 +69,11 @@
         })
     }
 
+    /// Requests that it has not forgotten yet.
+    pub fn open(&self) -> usize {
+        self.pending.len()
+    }
+
     /// What it has learned so far.
     pub fn learned(&self) -> Learned {
         self.admission.learned()
