--- a/crates/herondock/benches/cost.rs
+++ b/crates/herondock/benches/cost.rs
@@ -1,6 +1,6 @@
 //! The cost of the balancer itself: through it, through a bare hyper relay, and on the direct path, paired in one run.
 //!
-//! `cargo bench -p herondock --bench cost [-- SECONDS [ROUNDS]]`. An upstream that answers at once, the relay and the
+//! `cargo bench -p herondock --bench cost [-- SECONDS [ROUNDS [OTHER]]]`; OTHER is a build to compare with. An upstream that answers at once, the relay and the
 //! balancer are processes of their own with one thread each; this process is the callers. For each number of
 //! connections the three ways take turns, round after round, so that a machine whose speed drifts hurts all alike.
 use bytes::Bytes;
@@ -155,7 +155,7 @@
     (values[values.len() / 2], values[0], values[values.len() - 1])
 }
 
-async fn measure(seconds: f64, rounds: usize) {
+async fn measure(seconds: f64, rounds: usize, other: Option<&str>) {
     let upstream = Role::start(&["upstream"]);
     let relay = Role::start(&["relay", &upstream.1.to_string()]);
     let discovery = Discovery::start();
@@ -165,11 +165,17 @@
         config(discovery.addr, 1024, &known).replace("\"quota_per_s\":5000", "\"quota_per_s\":1000000");
     let program = Program::new(env!("CARGO_BIN_EXE_herondock"), env!("CARGO_TARGET_TMPDIR"));
     let node = Node::run(program.command(&config), discovery);
-    let ways = [
+    let other = other.map(|path| {
+        let (program, discovery) = (Program::new(path, env!("CARGO_TARGET_TMPDIR")), Discovery::start());
+        let config = config.replace(&node.discovery.addr.to_string(), &discovery.addr.to_string());
+        Node::run(program.command(&config), discovery)
+    });
+    let mut ways = vec![
         ("direct", upstream.1, None),
         ("bare relay", relay.1, Some(relay.0.id())),
         ("herondock", node.addr, Some(node.pid())),
     ];
+    ways.extend(other.iter().map(|other| ("the other one", other.addr, Some(other.pid()))));
     let length = Duration::from_secs_f64(seconds);
     println!("{rounds} rounds of {seconds} s each way; median (least to most)\n");
     println!(
@@ -177,7 +183,7 @@
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
     for connections in CONNECTIONS {
-        let mut figures: [Vec<Figures>; 3] = Default::default();
+        let mut figures: [Vec<Figures>; 4] = Default::default();
         for round in 0..=rounds {
             for (k, (_, addr, pid)) in ways.iter().enumerate() {
                 let before = pid.map_or(0.0, cpu);
@@ -217,7 +223,7 @@
         match args.first().map(String::as_str) {
             Some("upstream") => serve(None).await,
             Some("relay") => serve(Some(args[1].parse().expect("an address"))).await,
-            _ => measure(number(0, 2.0), number(1, 5.0) as usize).await,
+            _ => measure(number(0, 2.0), number(1, 5.0) as usize, args.get(2).map(String::as_str)).await,
         }
     });
 }
--- a/crates/herondock/src/front/http.rs
+++ b/crates/herondock/src/front/http.rs
@@ -389,13 +389,14 @@
             carried.budget.left
         });
         let told = budget.as_ref().is_some_and(|carried| carried.budget.told);
-        let own: Vec<HeaderName> = budget
-            .iter()
-            .flat_map(|carried| {
+        let own = match &budget {
+            None => Vec::new(),
+            Some(carried) => {
                 let names = &carried.names;
-                [&names.budget, &names.path, &names.used].into_iter().flat_map(HeaderName::try_from)
-            })
-            .collect();
+                let all = [&names.budget, &names.path, &names.used];
+                all.into_iter().flat_map(HeaderName::try_from).collect()
+            }
+        };
         let request = Request {
             name: head.headers.get("req-id").map(|id| Bytes::copy_from_slice(id.as_bytes())),
             method,
