--- a/crates/fleetsim/src/world.rs
+++ b/crates/fleetsim/src/world.rs
@@ -1,4 +1,4 @@
-//! The run: callers, balancers, upstreams, network and registry on one clock. Everything that happens is a [`Happening`],
+//! The run: callers, balancers, upstreams, network and registry on one clock. Everything that happens is a `Happening`,
 //! and there is a method for each.
 use crate::agenda::{ms, Agenda, Nanos};
 use crate::draw::Draws;
