--- a/crates/fleetsim/src/instance.rs
+++ b/crates/fleetsim/src/instance.rs
@@ -260,7 +260,7 @@
         now: Nanos,
         request: u64,
         (class, club): (usize, usize),
-        patience: Millis,
+        (patience, worth): (Millis, f64),
         does: &mut Vec<Does>,
     ) {
         while self.open.contains_key(&self.next) {
@@ -271,7 +271,8 @@
         let deadline = (self.clock(now) + (patience - MARGIN).max(0.0)).min(self.last);
         let once = self.settings.classes[class].effect == oakflow::Effect::SingleShot;
         self.open.insert(id, Open { request, answered: false, once, deadline, sends: 0, out: Vec::new() });
-        let request = oakflow::Request::plain(RequestId(id), class, club, deadline);
+        let request =
+            oakflow::Request { worth, ..oakflow::Request::plain(RequestId(id), class, club, deadline) };
         self.feed(now, Event::Request(request), does);
     }
 
--- a/crates/fleetsim/src/main.rs
+++ b/crates/fleetsim/src/main.rs
@@ -27,6 +27,9 @@
         /// How many.
         #[arg(default_value_t = 1)]
         count: u64,
+        /// With budgets at every instance.
+        #[arg(long)]
+        budgets: bool,
     },
     /// Prints the digests of seeds, to be compared between machines and builds.
     Digest {
@@ -139,9 +142,9 @@
 fn main() -> ExitCode {
     let mut sound = true;
     match Cli::parse().command {
-        Command::Play { fleet, seed, count } => {
+        Command::Play { fleet, seed, count, budgets } => {
             for seed in seed..seed.saturating_add(count) {
-                let scenario = Scenario::draw(seed, fleet.size);
+                let scenario = Scenario { budgets, ..Scenario::draw(seed, fleet.size) };
                 let began = Instant::now();
                 let report = play(&scenario, fleet.mutant.mutant());
                 let took = began.elapsed().as_secs_f64();
--- a/crates/fleetsim/src/scenario.rs
+++ b/crates/fleetsim/src/scenario.rs
@@ -135,6 +135,8 @@
     pub load: Vec<(Nanos, f64)>,
     /// The upstreams of each tier.
     pub builds: [Vec<Build>; 2],
+    /// Whether instances have budgets, each for itself, as behind upstreams that pass nothing on; no draw decides it.
+    pub budgets: bool,
     /// When load ends.
     pub ends: Nanos,
     /// Upstreams of the first tier, at its end, that come up only with a trouble.
@@ -195,6 +197,7 @@
             passes_deadline: d.chance(0.67),
             capacity,
             load,
+            budgets: false,
             ends: ms(f64::from(size.length_ms)),
             builds,
             reserve: 0,
--- a/crates/fleetsim/src/world.rs
+++ b/crates/fleetsim/src/world.rs
@@ -36,6 +36,10 @@
 const COUNT: Nanos = 100_000_000;
 /// What a club sends beyond its share is worth this part.
 const OVER_SHARE: f64 = 0.05;
+/// What a caller's repeat is worth, and repeats for each first try of a club, where budgets are on.
+const REPEAT_WORTH: f64 = 0.25;
+/// See [`REPEAT_WORTH`].
+const CLUB_REPEATS: f64 = 0.1;
 /// Most events of a run: one that goes on for ever is a defect.
 const EVENTS_MOST: u64 = 500_000_000;
 
@@ -241,6 +245,8 @@
         cold_from: 0.32,
         ramp_time: 9000.0,
         tip_multiple: 4.0,
+        refuse_hopeless: scenario.budgets,
+        tenant_retries: if scenario.budgets { CLUB_REPEATS } else { 0.0 },
         ..Settings::default()
     }
 }
@@ -553,9 +559,13 @@
             };
         }
         let patience = r.until.saturating_sub(now) as f64 / 1e6;
+        // Marked by its caller, where budgets are on.
+        let tries = |op| self.operations.get(op).map_or(0, |o| o.tries);
+        let repeat = matches!(&r.caller, Caller::Operation(op) if self.scenario.budgets && tries(op) > 0);
         self.asked += 1;
         self.note(1, request, instance as u64);
-        self.instances[instance].takes(now, request, (class, club), patience, &mut self.does);
+        let given = (patience, if repeat { REPEAT_WORTH } else { 1.0 });
+        self.instances[instance].takes(now, request, (class, club), given, &mut self.does);
         self.carry_out(instance);
     }
 
