--- a/crates/fleetsim/src/main.rs
+++ b/crates/fleetsim/src/main.rs
@@ -1,5 +1,5 @@
 //! `fleetsim`: plays runs of the whole fleet, searches for bad ones, and shrinks them.
-use clap::{Args, Parser, Subcommand, ValueEnum};
+use clap::{Args, Parser, Subcommand};
 use fleetsim::mutant::Mutant;
 use fleetsim::scenario::{Scenario, Size};
 use fleetsim::search::{search, shrink, Case};
@@ -69,30 +69,7 @@
     size: Size,
     /// A faulty variant, to see what catches it.
     #[arg(long, value_enum, default_value = "none")]
-    mutant: Wrong,
-}
-
-#[derive(Clone, Copy, ValueEnum)]
-enum Wrong {
-    None,
-    AnswersForgotten,
-    EffectsForgotten,
-    DrainsIgnored,
-    ColdPreferred,
-    NothingForgotten,
-}
-
-impl Wrong {
-    fn mutant(self) -> Mutant {
-        match self {
-            Wrong::None => Mutant::None,
-            Wrong::AnswersForgotten => Mutant::AnswersForgotten,
-            Wrong::EffectsForgotten => Mutant::EffectsForgotten,
-            Wrong::DrainsIgnored => Mutant::DrainsIgnored,
-            Wrong::ColdPreferred => Mutant::ColdPreferred,
-            Wrong::NothingForgotten => Mutant::NothingForgotten,
-        }
-    }
+    mutant: Mutant,
 }
 
 fn size(text: &str) -> Result<Size, String> {
@@ -146,7 +123,7 @@
             for seed in seed..seed.saturating_add(count) {
                 let scenario = Scenario { budgets, ..Scenario::draw(seed, fleet.size) };
                 let began = Instant::now();
-                let report = play(&scenario, fleet.mutant.mutant());
+                let report = play(&scenario, fleet.mutant);
                 let took = began.elapsed().as_secs_f64();
                 println!("{}", line(&seed.to_string(), &scenario, &report));
                 println!(
@@ -162,12 +139,12 @@
         }
         Command::Digest { fleet, seed, count } => {
             for seed in seed..seed.saturating_add(count) {
-                let report = play(&Scenario::draw(seed, fleet.size), fleet.mutant.mutant());
+                let report = play(&Scenario::draw(seed, fleet.size), fleet.mutant);
                 println!("{seed} {:016x} {}", report.digest, report.events);
             }
         }
         Command::Search { fleet, from, seconds, threads } => {
-            let mutant = fleet.mutant.mutant();
+            let mutant = fleet.mutant;
             let found =
                 search(fleet.size, mutant, from, u64::MAX - from, Duration::from_secs(seconds), threads);
             println!("{} runs, {} of them broken", found.played, found.broken.len());
--- a/crates/fleetsim/src/mutant.rs
+++ b/crates/fleetsim/src/mutant.rs
@@ -1,7 +1,7 @@
 //! Faulty variants of an instance, each of which breaks one rule: what shows that an invariant can catch anything.
 
 /// What is wrong with every instance of a run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
 pub enum Mutant {
     /// Nothing.
     #[default]
