--- a/crates/herondock/src/check.rs
+++ b/crates/herondock/src/check.rs
@@ -34,6 +34,23 @@
     Ok(())
 }
 
+/// A supervisor that asks for leave needs balancers that say how they stand: one that is never seen to be in keeps its leave.
+fn in_council(fleet: &fleet::Fleet) -> Result<(), String> {
+    if fleet.council.is_none() {
+        return Ok(());
+    }
+    for instance in &fleet.instances {
+        let own = instance.operator.as_deref().map(operator::read).transpose()?;
+        if own.is_none_or(|own| own.council.is_none()) {
+            return Err(format!(
+                "council: the operator's file of instance {} has no [council]",
+                instance.name
+            ));
+        }
+    }
+    Ok(())
+}
+
 fn one(path: &Path, world: Option<&World>) -> Result<(), String> {
     if path.extension().is_none_or(|e| e != "json") && council::is_council(path) {
         return council::read(path).map(|_| ());
@@ -43,6 +60,7 @@
     }
     if path.extension().is_none_or(|e| e != "json") && fleet::is_fleet(path) {
         let fleet = fleet::read(path)?;
+        in_council(&fleet).map_err(|what| format!("{}: {what}", path.display()))?;
         // All that it refers to as well.
         for instance in &fleet.instances {
             one(&instance.config, None)?;
--- a/crates/herondock/tests/command.rs
+++ b/crates/herondock/tests/command.rs
@@ -176,3 +176,35 @@
     drop(child.stdin.take());
     assert_eq!(child.wait().expect("it ends").code(), Some(1));
 }
+
+/// Guards against a supervisor that asks for leave for balancers that nobody in the council ever hears of, and against budgets
+/// that can't be kept: both are found before anything runs.
+#[test]
+fn check_finds_what_agreed_outages_could_not_work_with() {
+    let name = |path: &PathBuf| path.file_name().and_then(|n| n.to_str()).expect("a name").to_string();
+    let council = "[council]\nvoters = [\"127.0.0.1:7801\"]\n";
+    let platform = program().file(".json", &config(testkit::upstream::refusing(), 64, "null"));
+    let (without, with) = (program().file(".toml", ""), program().file(".toml", council));
+    for (operator, good) in [(&without, false), (&with, true)] {
+        let text = format!(
+            "[fleet]\nfolder = \"run\"\nmachine = \"m1\"\noperator = \"{}\"\n{council}[[instance]]\nname = \"n1\"\nconfig = \"{}\"\n",
+            name(operator),
+            name(&platform)
+        );
+        let file = program().file(".toml", &text);
+        let output = herondock(&["check", file.to_str().expect("text")]);
+        let said = text_of(&output);
+        assert_eq!(output.status.success(), good, "{said}");
+        assert!(good || said.contains("the operator's file of instance n1 has no [council]"), "{said}");
+    }
+    let budgets =
+        format!("{council}[[budget]]\nname = \"b\"\nof = \"balancer\"\nper = \"fleet\"\nmost = 0\n");
+    let file = program().file(".toml", &budgets);
+    let output = herondock(&["check", file.to_str().expect("text")]);
+    let said = text_of(&output);
+    assert!(!output.status.success() && said.contains("budget[0].most: is 0"), "{said}");
+}
+
+fn text_of(output: &Output) -> String {
+    text(&output.stderr)
+}
