Leave for what is cold is given only where the budgets hold as they are

Cause, found in reading the rule again: decide.rs took every reason but 'not heard of' for being known to be out, so that leave to restart a balancer that had just come back and serves, cold, was given beside another that was out. Change: cold and not heard of are treated alike. Measured: the rule's test fails without it.

--- a/crates/outage/src/decide.rs
+++ b/crates/outage/src/decide.rs
@@ -29,6 +29,13 @@
     Seen(Stand, usize, usize),
 }
 
+impl Reason {
+    /// Whether a unit that counts as out for this may be serving all the same.
+    fn may_serve(&self) -> bool {
+        matches!(self, Reason::Missing | Reason::Says(State::Cold) | Reason::Seen(Stand::Cold, ..))
+    }
+}
+
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -212,9 +219,9 @@
             return Verdict::Taken("who asked before".into());
         }
         // What is known to be out is not taken out by this: mending it must not wait for room that only mending makes. What is
-        // only not heard of may well be serving: it counts already, and is given where that is within bounds.
+        // not heard of, or cold, may well be serving: it counts already, and is given where that is within bounds.
         let why = self.out.get(unit);
-        if why.is_some_and(|why| why.iter().any(|reason| *reason != Reason::Missing)) {
+        if why.is_some_and(|why| !why.iter().all(Reason::may_serve)) {
             return Verdict::Given;
         }
         let adds = u32::from(why.is_none());
--- a/crates/outage/tests/rule.rs
+++ b/crates/outage/tests/rule.rs
@@ -184,6 +184,13 @@
     site.ends("n2");
     let id = site.ask("m1", Id::balancer("n2"), Act::Restart, 0, None);
     assert!(matches!(site.verdict(&id), Verdict::Waits { .. }), "n1 is out, and n2 may be in");
+    // The same of one that came back and is cold: it serves, if not in full.
+    let mut site = three(1, 0);
+    site.ask("m1", Id::balancer("n1"), Act::Restart, 0, None);
+    assert_eq!(site.give(), ["m1/n1"]);
+    site.says("n2", State::Cold);
+    let id = site.ask("m1", Id::balancer("n2"), Act::Restart, 0, None);
+    assert!(matches!(site.verdict(&id), Verdict::Waits { .. }), "n1 is out, and n2 serves");
     // Alone it is within bounds: it counts as the one that is out.
     let mut site = three(1, 0);
     site.ends("n2");
