--- a/crates/herondock/tests/outage.rs
+++ b/crates/herondock/tests/outage.rs
@@ -243,7 +243,7 @@
 }
 
 /// Guards against a budget that stands in the way of mending: all of it is spent by crashes, and still what crashed comes
-/// back; a roll waits, goes on with an operator's override, which is recorded, and never goes below the floor.
+/// back; a roll goes on with an operator's reason, which is recorded, and waits without one.
 #[test]
 fn with_all_budgets_spent_by_crashes_there_is_a_way_back() {
     let budgets = "[[budget]]\nname = \"whole\"\nof = \"balancer\"\nper = \"fleet\"\nmost = 1\nfloor = 3\n";
@@ -255,6 +255,13 @@
     let pid = pids(&site, 0)[0].expect("a process");
     testkit::node::signal(pid, "KILL");
     site.until("one is out", |s| out(s).len() == 1);
+    // An operator's reason goes over the budget, and stands in the record while it is made use of.
+    let before = pids(&site, 1);
+    let mut command = site.machines[1].prepared(&["restart", "--override", "fire"]);
+    let forced = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("starts");
+    site.until("recorded", |s| s.contains("\"overrides\":\"fire\""));
+    done(&site, forced);
+    assert!(pids(&site, 1).iter().zip(&before).all(|(new, old)| new != old));
     let mut waits = roll(&site, 1, "restart");
     site.until("it waits", |s| s.contains("waits for budget whole: 1 of 6 out in the fleet, 1 may be"));
     // The supervisor says what it waits for, too.
