Calls that were turned away at once come back sooner; only those that waited are spread

Debug lines: 15 of 17 calls are turned away after 20 ms, and the next ones, 2 to 6.5 s later, come too late.

Cause: calls that are turned away at once cost discovery nothing; only those that wait in vain do.

Change: only a call that lasted half a second is spread; the pauses of others double from 0.3 to 3 s.

--- a/crates/registry/src/platform/told.rs
+++ b/crates/registry/src/platform/told.rs
@@ -12,10 +12,12 @@
 //! | 7.05 s | nothing more may be sent by the old list: 3.75 s for a dial, the queue and the answer, or for a second call |
 //!
 //! A call that opens a watch waits 100 ms for news, so that it is answered as soon as its turn has come, and has 4 s for the
-//! queue. One that fails is followed by the next 2 s after its own beginning at the earliest, and at the latest with half a
-//! second left of the 7.05 s (drawn between): whatever calls failed, a change counts as told [`SILENT`] after discovery had it
-//! and could be reached. Sooner would be worse: discovery works through its queue in turn, calls that have waited too long
-//! among them, and instances that come back at once keep it full of calls that wait in vain (tests/watch.rs plays both).
+//! queue. Whatever calls failed, a change counts as told [`SILENT`] after discovery had it and could be reached, so that the
+//! watch calls again by itself. One that was turned away at once cost discovery nothing: pauses double from 0.3 to 3 s. One
+//! that waited and failed is followed by the next 2 s after its own beginning at the earliest, and at the latest with half a
+//! second left of the 7.05 s (drawn between). Sooner would be worse: discovery works through its queue in turn, calls that have
+//! waited too long among them, and instances that come back at once keep it full of calls that wait in vain (tests/watch.rs
+//! plays both).
 //!
 //! Where lists are pushed, to an agent on this machine that answers at once and at no cost, what the agent has counts as
 //! told at once, whether a watch stands or not: wait and answer together stay under the grace, so that a watch that broke
@@ -52,7 +54,7 @@
 /// The longest pause before a watch that broke is opened again, and the longest after several that did, where discovery is
 /// asked.
 const PAUSE: Duration = ms(300);
-const PAUSE_MOST: Duration = ms(1000);
+const PAUSE_MOST: Duration = ms(3000);
 /// A call that opens a watch and fails is followed by the next this long after its own beginning at the earliest, where
 /// discovery is asked, and at the latest when what is left of [`SILENT`] and the grace is this for the answer.
 const SPREAD: Duration = ms(2000);
--- a/crates/registry/src/watch.rs
+++ b/crates/registry/src/watch.rs
@@ -41,8 +41,8 @@
     pub spread: Option<Spread>,
 }
 
-/// When the next call is made after one that failed while no watch stood, counted from that one's beginning: drawn between
-/// two bounds, and within what is left until the list must have been read. Guards against instances that come back so soon,
+/// When the next call is made after one that waited and failed while no watch stood, counted from that one's beginning: drawn
+/// between two bounds, and within what is left until the list must have been read. Guards against instances that come back so soon,
 /// and so many of them, that the registry's queue stays full of calls that wait in vain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Spread {
@@ -52,7 +52,8 @@
     pub read_by: Duration,
     /// And so long after the list has moved.
     pub moved_by: Duration,
-    /// The part of that which is left for the last answer, and the least in which calls are spread.
+    /// The part of that which is left for the last answer, and the least in which calls are spread. A call that failed sooner
+    /// has not waited.
     pub answer: Duration,
 }
 
@@ -172,6 +173,8 @@
                 self.read_by = if now >= until { begun } else { now } + spread.read_by;
                 Duration::ZERO
             }
+            // Turned away at once: that cost the registry nothing, and its queue moves on.
+            (Some(spread), Some((_, begun, _))) if now < begun + spread.answer => Duration::ZERO,
             (Some(spread), Some((_, begun, _))) => {
                 let left = self.read_by.saturating_sub(begun + spread.answer);
                 // Too late for what was missed: what changes from now on has as long again.
