--- a/crates/registry/tests/watch.rs
+++ b/crates/registry/tests/watch.rs
@@ -469,3 +469,33 @@
     let late = late(4000, |_| {}, false);
     assert!(late > 45, "all come back in one moment: {late} of 300, where 20 are borne");
 }
+
+/// Guards against a watch that rests after a call that failed, or comes back so late that what changed meanwhile counts as told:
+/// a hundred failures in a row, each at once or after a wait, with draws at both ends.
+#[test]
+fn after_any_failure_the_next_call_comes_in_time() {
+    let (wait, most) = (ms(2000), SILENT + ms(1000) + SLACK - ms(500));
+    for (lasts, draw) in [(ms(20), 0.0), (ms(20), 1.0), (wait, 0.0), (wait, 0.5), (wait, 1.0)] {
+        let terms = Terms { pushed: false, drain_grace: ms(1000) };
+        let mut watch = Watch::new(&terms, Some(0));
+        let (mut now, mut begun) = (Duration::ZERO, None);
+        for row in 0..100 {
+            match watch.next(now, draw) {
+                Next::Ask(_) => {}
+                Next::Wait(until) => {
+                    now = until;
+                    assert!(matches!(watch.next(now, draw), Next::Ask(_)), "row {row}");
+                }
+            }
+            if let Some(begun) = begun {
+                let apart = now - begun;
+                assert!(apart <= most, "{apart:?} after a call of {lasts:?}, row {row}, draw {draw}");
+                // Room for others in the queue, once there is time for it.
+                assert!(lasts < wait || row < 5 || apart >= wait, "{apart:?}, row {row}, draw {draw}");
+            }
+            begun = Some(now);
+            now += lasts;
+            watch.failed(now, "503", draw);
+        }
+    }
+}
