After a move pauses stay within a second, also where calls are turned away

Change: 3 s hold only after calls that were turned away while nothing has moved; after a move, and where a standing watch broke, 1 s.

Measured: registry's tests pass.

--- a/crates/registry/src/consul/watch.rs
+++ b/crates/registry/src/consul/watch.rs
@@ -77,6 +77,7 @@
             slow: ANSWER,
             pause: self.pause,
             pause_most: self.pause_most,
+            turned_away_most: self.pause_most,
             pace: self.pace,
             gap: Duration::MAX,
             spread: None,
--- a/crates/registry/src/platform/told.rs
+++ b/crates/registry/src/platform/told.rs
@@ -13,7 +13,7 @@
 //!
 //! A call that opens a watch waits 100 ms for news, so that it is answered as soon as its turn has come, and has 4 s for the
 //! queue. Whatever calls failed, a change counts as told [`SILENT`] after discovery had it and could be reached, so that the
-//! watch calls again by itself. One that was turned away at once cost discovery nothing: pauses double from 0.3 to 3 s. One
+//! watch calls again by itself. One that was turned away at once cost discovery nothing: pauses double from 0.3 to 3 s, to 1 s after a move. One
 //! that waited and failed is followed by the next 2 s after its own beginning at the earliest, and at the latest with half a
 //! second left of the 7.05 s (drawn between). Sooner would be worse: discovery works through its queue in turn, calls that have
 //! waited too long among them, and instances that come back at once keep it full of calls that wait in vain (tests/watch.rs
@@ -54,7 +54,9 @@
 /// The longest pause before a watch that broke is opened again, and the longest after several that did, where discovery is
 /// asked.
 const PAUSE: Duration = ms(300);
-const PAUSE_MOST: Duration = ms(3000);
+const PAUSE_MOST: Duration = ms(1000);
+/// The longest after calls that discovery turned away at once, where nothing has moved.
+const TURNED_AWAY_MOST: Duration = ms(3000);
 /// A call that opens a watch and fails is followed by the next this long after its own beginning at the earliest, where
 /// discovery is asked, and at the latest when what is left of [`SILENT`] and the grace is this for the answer.
 const SPREAD: Duration = ms(2000);
@@ -90,6 +92,7 @@
             slow: SLOW,
             pause: PAUSE,
             pause_most: PAUSE_MOST,
+            turned_away_most: TURNED_AWAY_MOST,
             pace: Duration::ZERO,
             gap: GAP,
             spread: Some(Spread {
@@ -115,6 +118,7 @@
             slow: Duration::ZERO,
             pause: AGENT_PAUSE,
             pause_most: answer,
+            turned_away_most: answer,
             spread: None,
             ..asked
         }
--- a/crates/registry/src/watch.rs
+++ b/crates/registry/src/watch.rs
@@ -32,6 +32,8 @@
     pub pause: Duration,
     /// The longest of these.
     pub pause_most: Duration,
+    /// The longest after calls that were turned away while no watch stood, and nothing had moved.
+    pub turned_away_most: Duration,
     /// The least time between an answer that told something and the next call.
     pub pace: Duration,
     /// A watch stands for so long after an answer; a later call opens another.
@@ -95,6 +97,8 @@
 pub struct Watch {
     plan: Plan,
     phase: Phase,
+    /// It has moved, and nothing has been answered since.
+    moved: bool,
     /// What was missed must have been read by then.
     read_by: Duration,
     due: Duration,
@@ -110,15 +114,25 @@
 impl Watch {
     /// A watch that begins at once.
     pub fn new(plan: Plan) -> Watch {
-        let again = Backoff::new(plan.pause, plan.pause_most);
+        let again = Backoff::new(plan.pause, plan.pause_most.max(plan.turned_away_most));
         let (due, answered) = (Duration::ZERO, Duration::ZERO);
         let read_by = plan.spread.map_or(Duration::ZERO, |spread| spread.read_by);
-        Watch { plan, phase: Phase::Opening, read_by, due, called: None, unanswered: 0, answered, again }
+        Watch {
+            plan,
+            phase: Phase::Opening,
+            moved: false,
+            read_by,
+            due,
+            called: None,
+            unanswered: 0,
+            answered,
+            again,
+        }
     }
 
     /// The list is elsewhere from now on: whatever stood stands no more, and it is asked for at once.
     pub fn moved(&mut self, now: Duration) {
-        (self.phase, self.due) = (Phase::Opening, now);
+        (self.phase, self.due, self.moved) = (Phase::Opening, now, true);
         self.read_by = now + self.plan.spread.map_or(Duration::ZERO, |spread| spread.moved_by);
         self.again.worked();
     }
@@ -159,6 +173,7 @@
             self.again.worked();
         }
         self.unanswered = 0;
+        self.moved = false;
         (self.phase, self.answered, self.due) = (Phase::Standing, now, now + self.plan.pace);
     }
 
@@ -185,7 +200,9 @@
             }
             _ => Duration::ZERO,
         };
-        (self.phase, self.due) = (Phase::Opening, after.max(now + self.again.failed(draw)));
+        let most = if stood || self.moved { self.plan.pause_most } else { self.plan.turned_away_most };
+        let pause = self.again.failed(draw).min(backoff::jittered(most, draw));
+        (self.phase, self.due) = (Phase::Opening, after.max(now + pause));
     }
 
     /// When the next call is made at the earliest.
