--- a/crates/herondock/tests/callers.rs
+++ b/crates/herondock/tests/callers.rs
@@ -1,13 +1,25 @@
 //! Callers that send what can't be used, too much, or nothing: each test stands for one way to fail in service.
 mod common;
 use common::*;
-use std::sync::mpsc::channel;
+use std::sync::mpsc::{channel, Sender};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 /// What must be turned away within 3 s, with some room for slow machines; without the limit it was 10 s or more.
 const SOON: Duration = Duration::from_secs(6);
 
+/// An upstream that answers its first request `first` once it is told to, and all others `later` at once.
+fn holding_the_first() -> (Sender<()>, Upstream) {
+    let (go, held) = channel();
+    let held = Mutex::new(Some(held));
+    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    let upstream = Upstream::start(move |_| match held.lock().expect("no panic").take() {
+        Some(word) => Then::Hold(word, answer.into()),
+        None => ok("later"),
+    });
+    (go, upstream)
+}
+
 #[test]
 fn silent_callers_and_halves_of_requests_are_not_kept() {
     let upstream = Upstream::start(|_| ok("x"));
@@ -82,13 +94,7 @@
 
 #[test]
 fn the_id_of_an_open_request_is_not_taken_twice() {
-    let (go, held) = channel();
-    let held = Mutex::new(Some(held));
-    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
-    let upstream = Upstream::start(move |_| match held.lock().expect("no panic").take() {
-        Some(word) => Then::Hold(word, answer.into()),
-        None => ok("later"),
-    });
+    let (go, upstream) = holding_the_first();
     let node = with(&[upstream.addr]);
     let mut first = node.client_that_sent(&pay("r1", "15000m"));
     upstream.request();
@@ -133,13 +139,7 @@
 
 #[test]
 fn told_to_end_it_answers_what_was_sent_behind_a_request() {
-    let (go, held) = channel();
-    let held = Mutex::new(Some(held));
-    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
-    let upstream = Upstream::start(move |_| match held.lock().expect("no panic").take() {
-        Some(word) => Then::Hold(word, answer.into()),
-        None => ok("later"),
-    });
+    let (go, upstream) = holding_the_first();
     let mut node = with(&[upstream.addr]);
     let second = get("r2", "15000m");
     let (start, rest) = second.split_at(40);
@@ -204,13 +204,7 @@
 /// has stopped waiting by the time it is sent.
 #[test]
 fn the_time_of_a_request_runs_while_it_waits_behind_another() {
-    let (go, held) = channel();
-    let held = Mutex::new(Some(held));
-    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
-    let upstream = Upstream::start(move |_| match held.lock().expect("no panic").take() {
-        Some(word) => Then::Hold(word, answer.into()),
-        None => ok("later"),
-    });
+    let (go, upstream) = holding_the_first();
     let node = with(&[upstream.addr]);
     let (first, short, long) = (get("r1", "20000m"), pay("r2", "100m"), get("r3", "20000m"));
     let mut client = node.client_that_sent(&format!("{first}{short}{long}"));
