Failing tests: memory of slow and many clients, departed callers, a reused address

Callers saw balancers killed for memory. (c) Requests that a caller left unread at its close are forwarded; the id of a request that may run runs again after its caller has left. (d) A new process at the address of a former one, of which the list does not say that it left, is taken for it: a keyed request that may have run goes to it although it is in another group.

New in the test kit: crowds and pipelines of clients, answers written byte by byte, a process's peak memory.

--- a/crates/herondock/tests/callers.rs
+++ b/crates/herondock/tests/callers.rs
@@ -4,11 +4,15 @@
 use std::sync::mpsc::{channel, Sender};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
+use testkit::crowd::Crowd;
 
 /// Maximum time until incomplete requests and silent connections are closed. The limit is 3 s, the rest is room for slow
 /// machines; without the limit the close took 10 s or more.
 const MAX_TIME_TO_CLOSE: Duration = Duration::from_secs(6);
 
+/// More descriptors than a balancer holds that has no caller and one upstream.
+const MAX_IDLE_DESCRIPTORS: usize = 16;
+
 /// An upstream that answers its first request with `first` once the sender is used, and all others with `later` immediately.
 fn upstream_holding_first_request() -> (Sender<()>, Upstream) {
     let (release, released) = channel();
@@ -233,3 +237,34 @@
     let left = last.header("req-deadline").and_then(|d| d.strip_suffix('u')).expect("microseconds");
     assert!(left.parse::<u64>().expect("a number") <= 19_850_000, "{left}");
 }
+
+#[test]
+fn requests_that_a_disconnected_caller_left_unread_are_not_forwarded() {
+    let (release, upstream) = upstream_holding_first_request();
+    let node = with(&[upstream.addr]);
+    let mut crowd = Crowd::connect(node.addr, 1);
+    crowd.write_until_blocked(|n| pay(&format!("r{n}"), "20000m").into_bytes());
+    assert_eq!(upstream.next_request().header("req-id"), Some("r0"));
+    drop(crowd);
+    release.send(()).expect("the upstream waits");
+    // The end of the stream becomes visible to the balancer only behind all that the caller had written.
+    node.wait_for_descriptors(|open| open <= MAX_IDLE_DESCRIPTORS, "the caller's connection is closed");
+    assert_eq!(node.client().call(&get("after", "5000m")).status(), 200);
+    assert_eq!(upstream.next_request().header("req-id"), Some("after"), "no further request was forwarded");
+    assert_eq!(upstream.count_new_requests(), 0);
+}
+
+#[test]
+fn id_of_a_request_that_may_run_does_not_run_again_after_its_caller_has_left() {
+    let upstream = Upstream::start(|m| if m.header("req-id") == Some("r1") { Step::Silent } else { ok("x") });
+    let node = with(&[upstream.addr]);
+    let client = node.client_with_request(&pay("r1", "15000m"));
+    assert_eq!(upstream.next_request().header("req-id"), Some("r1"));
+    drop(client);
+    // The attempt is cancelled, which stops nothing at the upstream.
+    upstream.wait_for_close();
+    assert_eq!(node.client().call(&pay("r1", "15000m")).status(), 409);
+    assert_eq!(node.client().call(&pay("r2", "15000m")).status(), 200);
+    assert_eq!(upstream.next_request().header("req-id"), Some("r2"), "the first id did not run again");
+    assert_eq!(upstream.count_new_requests(), 0);
+}
--- a/crates/herondock/tests/discovery.rs
+++ b/crates/herondock/tests/discovery.rs
@@ -3,6 +3,8 @@
 mod common;
 use common::*;
 use std::net::SocketAddr;
+use std::sync::mpsc::channel;
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 use testkit::discovery::{DiscoveryFault, ListedUpstream, Registry};
 use testkit::faults::machine::CpuThrottle;
@@ -233,3 +235,31 @@
     println!("notified {:?} to {:?} after the silence", delays.iter().min(), delays.iter().max());
     println!("calls meanwhile: {}, of which {} opened a watch", calls.0 - before.0, calls.1 - before.1);
 }
+
+#[test]
+fn new_process_at_the_address_of_a_former_one_is_not_taken_for_it() {
+    let (release, released) = channel();
+    let released = Mutex::new(Some(released));
+    let error = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+    let upstream = Upstream::start(move |_| match released.lock().expect("no panic").take() {
+        Some(released) => Step::Hold(released, error.into()),
+        None => ok("x"),
+    });
+    let discovery = Discovery::start();
+    let config = config(discovery.addr, 1024, &known(&upstream)).replace("\"all\"", "\"cell\"");
+    let node = Node::run(command(&config), discovery);
+    let keyed = pay("r1", "15000m").replace("Req-Kind: pay", "Req-Kind: order\r\nIdempotency-Key: k1");
+    let mut client = node.client_with_request(&keyed);
+    assert_eq!(upstream.next_request().header("req-id"), Some("r1"));
+    // The list does not say that the former process has left.
+    let successor =
+        upstream_list(2, false, &[(1, upstream.addr, "active")]).replace("\"cell\":1", "\"cell\":2");
+    node.discovery.next_path();
+    node.discovery.answer(&successor);
+    node.discovery.next_path();
+    release.send(()).expect("the upstream waits");
+    // The successor belongs to another group, which does not deduplicate the key.
+    assert_eq!(client.answer().expect("an answer").status(), 502);
+    assert_eq!(upstream.count_new_requests(), 0);
+    assert_eq!(node.client().call(&get("r2", "15000m")).status(), 200);
+}
--- a/crates/verification/testkit/src/discovery.rs
+++ b/crates/verification/testkit/src/discovery.rs
@@ -53,6 +53,11 @@
         self.answers.send(text).expect("discovery runs");
     }
 
+    /// Prepares this complete answer.
+    pub fn answer_raw(&self, text: &str) {
+        self.answers.send(text.into()).expect("discovery runs");
+    }
+
     /// Prepares a 503 answer.
     pub fn fail(&self) {
         let text = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
--- a/crates/verification/testkit/src/lib.rs
+++ b/crates/verification/testkit/src/lib.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | [`message`] | HTTP messages as read from a socket, and ready-made requests and answers |
 //! | [`upstream`] | upstreams that answer as a test sets, or that work like small servers |
+//! | [`crowd`] | hundreds of clients that write slowly, in part, or without a pause |
 //! | [`script`] | fault scripts: the steps of an upstream for the first request, the next, and so on |
 //! | [`discovery`] | discovery with prepared answers, and a registry that serves a list and watches on it |
 //! | [`consul`] | a stand-in for Consul with agents that inject faults |
@@ -47,6 +48,7 @@
 pub mod caller;
 pub mod consul;
 pub mod coordination;
+pub mod crowd;
 pub mod discovery;
 pub mod fastcgi;
 pub mod faults;
--- a/crates/verification/testkit/src/node.rs
+++ b/crates/verification/testkit/src/node.rs
@@ -145,6 +145,14 @@
         std::fs::read_dir(path).expect("its descriptors").count()
     }
 
+    /// Peak resident memory of the process so far, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.process.pid());
+        let status = std::fs::read_to_string(path).expect("the status of a running process");
+        let kibibytes = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"));
+        kibibytes.and_then(|number| number.trim().parse::<u64>().ok()).expect("a number of kB") << 10
+    }
+
     /// Waits until the number of descriptors satisfies a condition; fails with the text `failure`.
     pub fn wait_for_descriptors(&self, condition: impl Fn(usize) -> bool, failure: &str) {
         let started = Instant::now();
--- a/crates/verification/testkit/src/upstream.rs
+++ b/crates/verification/testkit/src/upstream.rs
@@ -24,6 +24,15 @@
     Hold(Receiver<()>, String),
     /// Works for this time on one of the cores, then answers; declines the request if the queue is full.
     Work(Duration, String),
+    /// Writes this head, then so many pieces of one byte, each after this pause, and nothing more.
+    Dribble {
+        /// Complete head of the answer.
+        head: String,
+        /// Number of bytes of the body that are written.
+        pieces: usize,
+        /// Pause before each byte.
+        interval: Duration,
+    },
 }
 
 impl Step {
@@ -36,7 +45,7 @@
     fn executes(&self) -> bool {
         match self {
             Step::Answer(text) | Step::AnswerAndClose(text) => !declines(text),
-            Step::Close | Step::Silent | Step::Hold(..) | Step::Work(..) => true,
+            Step::Close | Step::Silent | Step::Hold(..) | Step::Work(..) | Step::Dribble { .. } => true,
         }
     }
 }
@@ -408,6 +417,7 @@
             return false;
         }
         Step::Close => return false,
+        Step::Dribble { head, pieces, interval } => return dribble(peer, &head, pieces, interval),
         Step::Silent | Step::Work(..) => {}
         Step::Hold(word, text) => {
             let _ = word.recv_timeout(TEST_TIMEOUT);
@@ -417,6 +427,15 @@
     true
 }
 
+/// Writes a head and then `pieces` bytes, one at a time; returns `false` if the connection ends.
+fn dribble(peer: &mut impl ServerProtocol, head: &str, pieces: usize, interval: Duration) -> bool {
+    peer.write(head, false).is_ok()
+        && (0..pieces).all(|_| {
+            thread::sleep(interval);
+            peer.write("x", false).is_ok()
+        })
+}
+
 /// Returns an address that refuses connections.
 pub fn refusing() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("an address")
