Log why requests and connections end, and count them with the memory every 10 s

Callers saw killed processes, and the log of those processes held one line, `serving on`: nothing told what clients sent, which requests were refused, retried or abandoned, why connections closed, or how memory grew.

At debug level there are now lines for each attempt's end, each final answer (outcome, attempts, whether it may have run), each client that leaves, each request that is not admitted, and each connection's end with its reason, with the request's id or the client's address. At info level one line at most every 10 s, only after a change, has the counters and the resident memory.

--- a/crates/herondock/src/driver/mod.rs
+++ b/crates/herondock/src/driver/mod.rs
@@ -13,7 +13,7 @@
 use crate::descriptor_budget::DescriptorBudget;
 use crate::endpoint_sources::{EndpointSubscriber, EndpointUpdate, ListedEndpoint};
 use crate::exchange::{Answer, Attempt, BudgetGrant, FinalAnswer, Request, Upstream};
-use crate::request_counters::RequestCounters;
+use crate::request_counters::{self, RequestCounters};
 use balancer::{
     Action, AttemptOutcome, Balancer, Event, LearnedState, Membership, Millis, RequestId, UpstreamId,
 };
@@ -243,7 +243,7 @@
         {
             let mut driver = self.0.driver.borrow_mut();
             // The request has just been answered: the decision module has already closed it.
-            if driver.open.get_mut(&id).and_then(OpenRequest::take_reply).is_none() {
+            if !driver.open.get_mut(&id).is_some_and(OpenRequest::abandon) {
                 return;
             }
             driver.remove_if_done(id);
@@ -309,6 +309,9 @@
         let Some(open) = driver.open.get_mut(&id) else { return };
         let number = open.attempts_sent;
         open.attempts_sent += 1;
+        if number > 0 {
+            request_counters::increment(&open.counters.retries);
+        }
         let target = driver.upstreams.get(&upstream).filter(|_| open.reply.is_some());
         let Some(target) = target else {
             let request_finished = open.reply.is_none();
--- a/crates/herondock/src/driver/open_request.rs
+++ b/crates/herondock/src/driver/open_request.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
+use tracing::debug;
 
 /// An admitted request, kept until it has its final answer and none of its attempts is in flight.
 pub(super) struct OpenRequest {
@@ -46,16 +47,39 @@
     /// Gives the final answer. Returns `false` if it was given before or the client is gone.
     pub(super) fn answer(&mut self, answer: Answer) -> bool {
         let Some(reply) = self.take_reply() else { return false };
-        if matches!(answer, Answer::Served { .. }) {
-            self.count_served();
+        match answer {
+            Answer::Served { .. } => self.count_served(),
+            Answer::Rejected { .. } => request_counters::increment(&self.counters.refused),
+            Answer::ClientError(_) | Answer::Failed => request_counters::increment(&self.counters.failed),
         }
         let used = self.retry_budget.as_ref().map_or(RetryUsage::default(), RetryBudget::usage);
         let may_have_run = self.may_have_run || self.attempts_in_flight > 0;
+        debug!(
+            "request {}: {} after {} attempts, may have run: {may_have_run}",
+            self.request.label(),
+            answer.outcome(),
+            self.attempts_sent
+        );
         // Sending fails if the client has just left; it is then no longer owed an answer.
         let _ = reply.send(FinalAnswer { answer, may_have_run, used });
         true
     }
 
+    /// Records that the client has left. Returns `false` if the final answer was given before.
+    pub(super) fn abandon(&mut self) -> bool {
+        if self.take_reply().is_none() {
+            return false;
+        }
+        request_counters::increment(&self.counters.abandoned);
+        debug!(
+            "request {}: its client has left, {} attempts sent, {} in flight",
+            self.request.label(),
+            self.attempts_sent,
+            self.attempts_in_flight
+        );
+        true
+    }
+
     fn count_served(&self) {
         request_counters::increment(&self.counters.served);
         if Instant::now() > self.late_at {
--- a/crates/herondock/src/driver/state.rs
+++ b/crates/herondock/src/driver/state.rs
@@ -133,11 +133,15 @@
         request: Request,
     ) -> Result<Admitted, AdmissionError> {
         if self.open.len() >= self.max_open {
+            request_counters::increment(&self.counters.not_admitted);
+            debug!("request {}: not admitted, {} requests are open", request.label(), self.open.len());
             return Err(AdmissionError::TooManyOpen);
         }
         // Prevents a request from reusing the id of another while any attempt of the other is in flight: upstreams
         // recognise retries by the id.
         if request.id.as_ref().is_some_and(|id| !self.open_ids.borrow_mut().insert(id.clone())) {
+            request_counters::increment(&self.counters.not_admitted);
+            debug!("request {}: not admitted, one with its id is open", request.label());
             return Err(AdmissionError::DuplicateId);
         }
         let id = self.next_request_id();
@@ -199,6 +203,12 @@
                 entry.usage_feedback.record_response(reported.is_some());
             }
         }
+        if let Some(open) = self.open.get(&id) {
+            debug!(
+                "request {}: attempt {number} ended as {ending:?} after {duration:.1} ms",
+                open.request.label()
+            );
+        }
         let request_finished = self.record_ending(id, number, ending, reported, answer);
         self.remove_if_done(id);
         Some(Event::AttemptEnded { request: id, attempt: number, ending, duration, request_finished })
--- a/crates/herondock/src/exchange.rs
+++ b/crates/herondock/src/exchange.rs
@@ -154,6 +154,18 @@
     Failed,
 }
 
+impl Answer {
+    /// Outcome for log lines.
+    pub fn outcome(&self) -> &'static str {
+        match self {
+            Answer::Served { .. } => "served",
+            Answer::Rejected { .. } => "refused",
+            Answer::ClientError(_) => "turned away by its upstream",
+            Answer::Failed => "failed",
+        }
+    }
+}
+
 /// Outcome of an attempt, and its answer if there is one.
 pub type AttemptResult = (AttemptOutcome, Option<Answer>);
 
--- a/crates/herondock/src/front/http/mod.rs
+++ b/crates/herondock/src/front/http/mod.rs
@@ -17,6 +17,7 @@
 use crate::exchange::{Answer, FinalAnswer};
 use crate::live_config::LiveConfig;
 use crate::request_budgets::BudgetPolicy;
+use crate::request_counters::{CloseReason, RequestCounters};
 use crate::routing::Pools;
 use crate::stream::SharedStream;
 use admission::Admitted;
@@ -32,13 +33,14 @@
 use response::{empty_response, final_answer, reject_input, BodyNotRead, Response};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep_until, timeout, Instant};
-use tracing::info;
+use tracing::{debug, info};
 
 /// Maximum interval between checks of a connection's timeouts.
 const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -67,6 +69,8 @@
     pub shutdown: watch::Receiver<ShutdownProgress>,
     /// Request budgets, where they are on.
     pub budgets: Option<Rc<BudgetPolicy>>,
+    /// Counters of the process.
+    pub counters: Rc<RequestCounters>,
 }
 
 /// The HTTP front.
@@ -77,11 +81,14 @@
     limits: LiveConfig<Limits>,
     shutdown: watch::Receiver<ShutdownProgress>,
     budgets: Option<Rc<BudgetPolicy>>,
+    counters: Rc<RequestCounters>,
     idle: IdleConnections,
 }
 
 /// Connection of one client, shared by its task and its requests.
 struct ClientConnection {
+    /// Address of the client.
+    peer: SocketAddr,
     activity: Rc<ConnectionActivity>,
     stream: SharedStream,
     /// Notified when the connection is evicted to make room for another.
@@ -95,9 +102,9 @@
 impl HttpFront {
     /// Creates a front that does not accept yet.
     pub fn new(config: HttpFrontConfig) -> Rc<HttpFront> {
-        let HttpFrontConfig { pools, deployment, descriptors, limits, shutdown, budgets } = config;
+        let HttpFrontConfig { pools, deployment, descriptors, limits, shutdown, budgets, counters } = config;
         let idle = IdleConnections::default();
-        Rc::new(HttpFront { pools, deployment, descriptors, limits, shutdown, budgets, idle })
+        Rc::new(HttpFront { pools, deployment, descriptors, limits, shutdown, budgets, counters, idle })
     }
 
     /// Accepts clients until the shutdown stops it. Returns once every connection has ended.
@@ -115,13 +122,13 @@
                 _ = draining.wait_for(|progress| progress.phase >= ShutdownPhase::Draining) => break,
             };
             match accepted {
-                Ok((stream, _)) => {
+                Ok((stream, peer)) => {
                     failing = false;
                     let Some(permit) = self.acquire_permit().await else { break };
                     // Without this option answers would wait for the client's acknowledgements. If setting it fails,
                     // the client is gone.
                     if stream.set_nodelay(true).is_ok() {
-                        let connection = self.register(stream);
+                        let connection = self.register(stream, peer);
                         tokio::task::spawn_local(self.clone().serve(connection, permit));
                     }
                 }
@@ -162,10 +169,11 @@
     }
 
     /// Adds a new connection to the idle ones immediately, so that it can be evicted instead of an older one in use.
-    fn register(&self, stream: TcpStream) -> Rc<ClientConnection> {
+    fn register(&self, stream: TcpStream, peer: SocketAddr) -> Rc<ClientConnection> {
         let evicted = Rc::new(Notify::new());
         let idle_slot = Cell::new(Some(self.idle.insert(false, &evicted)));
         Rc::new(ClientConnection {
+            peer,
             activity: ConnectionActivity::new(),
             stream: SharedStream::new(stream),
             evicted,
@@ -176,7 +184,10 @@
 
     /// Serves a connection until it ends.
     async fn serve(self: Rc<HttpFront>, client: Rc<ClientConnection>, _permit: CallerPermit) {
-        self.serve_requests(&client).await;
+        let reason = self.serve_requests(&client).await;
+        self.counters.count_close(reason);
+        let requests = client.activity.heads_delivered.get();
+        debug!("connection of {}: closed after {requests} requests: {reason:?}", client.peer);
         self.idle.remove(client.idle_slot.take());
         if client.rejected_input.get() {
             let limits = self.limits.get();
@@ -185,7 +196,8 @@
         }
     }
 
-    async fn serve_requests(self: &Rc<HttpFront>, client: &Rc<ClientConnection>) {
+    /// Serves requests until the connection has to close, and returns the reason.
+    async fn serve_requests(self: &Rc<HttpFront>, client: &Rc<ClientConnection>) -> CloseReason {
         let (front, service_client) = (self.clone(), client.clone());
         let service = service_fn(move |request| {
             let (front, client) = (front.clone(), service_client.clone());
@@ -209,13 +221,13 @@
             let mut evicted = false;
             tokio::select! {
                 // A broken connection or malformed input ends only this connection.
-                _ = connection.as_mut() => return,
+                _ = connection.as_mut() => return CloseReason::Ended,
                 // hyper does not notice the end of the stream while it holds unparsed bytes, because it reads no
                 // further then. Returning here cancels the requests in flight of a client that has left, and does not
                 // start those that wait behind them.
-                () = client.stream.hung_up() => return,
+                () = client.stream.hung_up() => return CloseReason::ClientLeft,
                 // No answer is owed, and a partial request could prevent a graceful end.
-                () = client.wait_timed_out(&self.limits) => return,
+                () = client.wait_timed_out(&self.limits) => return CloseReason::TimedOut,
                 () = client.evicted.notified() => evicted = true,
                 _ = shutdown.wait_for(|p| p.phase == ShutdownPhase::ClosingIdle), if !closing_idle => {
                     closing_idle = true;
@@ -227,17 +239,18 @@
             if newcomer && !evicted {
                 continue;
             }
+            let reason = if evicted { CloseReason::Evicted } else { CloseReason::ShuttingDown };
             // A complete request that was written counts as received, even if it has not been read yet; a partial
             // head on a connection that never carried a request does not.
             let partial_head = client.activity.partial_head.get();
             if partial_head && newcomer {
-                return;
+                return reason;
             }
             if client.idle_slot.get().is_some() && !partial_head && client.stream.is_idle() {
                 connection.as_mut().graceful_shutdown();
                 // Limited in time, because a client may never read its answer.
                 let _ = timeout(self.limits.get().flush_wait, connection.as_mut()).await;
-                return;
+                return reason;
             }
         }
     }
--- a/crates/herondock/src/run/mod.rs
+++ b/crates/herondock/src/run/mod.rs
@@ -28,6 +28,8 @@
 use crate::node_config::{self, NodeConfig};
 use crate::request_budgets::BudgetPolicy;
 use crate::request_counters::RequestCounters;
+use crate::routing::Pools;
+use config::operator::OperatorConfig;
 use config::routing;
 use daemon::service_manager::ServiceManager;
 use daemon::signals::Signals;
@@ -76,6 +78,14 @@
     });
 }
 
+/// Writes the endpoint list to the cache file whenever it changes, if the operator's file names one.
+fn spawn_cache_writer(operator: &OperatorConfig, endpoints: &EndpointAggregator<Pools>) {
+    if let Some(file) = operator.registry.cache_file.as_deref().map(cache::cache_file) {
+        let interval = operator.registry.cache_write_interval;
+        tokio::task::spawn_local(cache::write_changes(endpoints.clone(), file, interval));
+    }
+}
+
 /// Builds an instance and runs it until it exits.
 async fn serve(options: Options) -> Result<(), RunError> {
     // Installed first, since a signal without a handler would kill the process.
@@ -126,10 +136,7 @@
     pools.apply_cached(&endpoints.restore(cached));
     let (discovery_address, addresses) = watch::channel(discovery);
     sources.spawn(addresses, &shared.limits, &node_config::staleness_settings(&shared.deployment));
-    if let Some(file) = operator.registry.cache_file.as_deref().map(cache::cache_file) {
-        let interval = operator.registry.cache_write_interval;
-        tokio::task::spawn_local(cache::write_changes(endpoints.clone(), file, interval));
-    }
+    spawn_cache_writer(&operator, &endpoints);
     let address = listener.local_addr().map_err(RunError::LocalAddress)?;
     let registrations =
         Registrations::spawn(&operator.registry.consul, &name, address, &shared.limits, &random);
@@ -148,6 +155,7 @@
     let listeners = fastcgi::open_listeners(&operator.fastcgi.listen, other_fronts)?;
     let fastcgi_front = shared.fastcgi_front(&pools, operator.fastcgi.clone(), listeners);
     let http_front = shared.http_front(&pools);
+    shared.log_counters();
     let (events, sender) = EventStream::new(signals, manager.watchdog_interval(), timers);
     let reloader = Reloader {
         path: options.operator,
--- a/crates/herondock/src/run/wiring.rs
+++ b/crates/herondock/src/run/wiring.rs
@@ -8,7 +8,7 @@
 use crate::listener_handoff::transferred_state::TransferredState;
 use crate::live_config::LiveConfig;
 use crate::request_budgets::BudgetPolicy;
-use crate::request_counters::RequestCounters;
+use crate::request_counters::{self, RequestCounters};
 use crate::routing::{DriverFactory, Pools};
 use crate::transport;
 use crate::transport::connection_pool::ConnectionSettings;
@@ -80,6 +80,14 @@
         Pcg64Mcg::seed_from_u64(self.seed)
     }
 
+    /// Logs the request counters from now on, whenever they have changed.
+    pub fn log_counters(&self) {
+        let (counters, descriptors) = (self.counters.clone(), self.descriptors.clone());
+        tokio::task::spawn_local(async move {
+            request_counters::log_changes(&counters, || descriptors.callers()).await;
+        });
+    }
+
     /// Creates the pools. The decision module of the default pool starts with the state that a predecessor had learned.
     ///
     /// # Errors
@@ -150,6 +158,7 @@
             limits: self.limits.clone(),
             shutdown: self.shutdown.clone(),
             budgets: self.budgets.clone(),
+            counters: self.counters.clone(),
         })
     }
 
