Copy bodies into one buffer each: a piece no longer holds the read buffer it came in

Callers saw balancers killed for memory while hundreds of clients wrote their bodies slowly.

Cause: a body was kept as the list of frames in which it arrived until it was complete. A frame of one byte is a view into the read buffer of its connection, and while it is held the connection reads into a new buffer of 8 KiB. The limit of 64 KiB counts the bytes, not the buffers, so one client could hold 64 KiB x 8 KiB. The class: what a peer sends is limited in the bytes of its content, but what is held for it depends on the number of pieces, which the peer chooses. Places: request bodies (front/http/admission.rs), answers of upstreams (transport/http.rs), lists of registries (endpoint_sources/client.rs), and in the fastcgi crate request bodies and outputs, where each record's part was an entry of 32 bytes and a view of the read buffer. Params, management records and heads were already copied into one buffer.

--- a/crates/data-plane/fastcgi/src/client.rs
+++ b/crates/data-plane/fastcgi/src/client.rs
@@ -7,7 +7,6 @@
 use crate::outgoing::{Cancelled, Outgoing, Tail};
 use crate::pairs::{self, Pair};
 use crate::record::{self, kind, Decoder, Header, Piece, Protocol, RESPONDER};
-use crate::server::joined;
 use crate::{Error, Fault, Limits};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::collections::BTreeMap;
@@ -35,8 +34,8 @@
 }
 
 struct InFlightRequest {
-    stdout_parts: Vec<Bytes>,
-    stdout_size: usize,
+    /// Output so far. It is copied, since a part shares the read buffer of its connection.
+    stdout: BytesMut,
     /// Size of the error stream, in bytes.
     errors: usize,
     /// The output stream has ended.
@@ -118,8 +117,7 @@
         record::end(&mut head, kind::PARAMS, id);
         self.outgoing.push_stream(id, head, kind::STDIN, body, Tail::Close);
         let request = InFlightRequest {
-            stdout_parts: Vec::new(),
-            stdout_size: 0,
+            stdout: BytesMut::new(),
             errors: 0,
             stdout_ended: false,
             unusable_reason: None,
@@ -137,7 +135,7 @@
             self.requests.remove(&id);
             return false;
         }
-        (request.aborted, request.stdout_parts) = (true, Vec::new());
+        (request.aborted, request.stdout) = (true, BytesMut::new());
         let mut out = BytesMut::new();
         record::end(&mut out, kind::ABORT, id);
         self.outgoing.push_connection_record(out.freeze());
@@ -230,12 +228,11 @@
         match (kind, self.requests.get_mut(&id)) {
             (kind::STDOUT, Some(request)) => {
                 if request.aborted || request.unusable_reason.is_some() {
-                } else if request.stdout_size + bytes.len() > limits.head + limits.body {
-                    (request.unusable_reason, request.stdout_parts) =
-                        (Some("the response is too large"), Vec::new());
+                } else if request.stdout.len() + bytes.len() > limits.head + limits.body {
+                    (request.unusable_reason, request.stdout) =
+                        (Some("the response is too large"), BytesMut::new());
                 } else {
-                    request.stdout_size += bytes.len();
-                    request.stdout_parts.push(bytes);
+                    request.stdout.extend_from_slice(&bytes);
                 }
             }
             (kind::STDERR, Some(request)) => request.errors = request.errors.saturating_add(bytes.len()),
@@ -280,7 +277,7 @@
             // A request with output has begun, even if its status says that it was refused.
             Protocol::Other(_) => return Outcome::Useless(application, "unknown protocol status"),
             refused
-                if request.stdout_size == 0 && request.errors == 0 && request.unusable_reason.is_none() =>
+                if request.stdout.is_empty() && request.errors == 0 && request.unusable_reason.is_none() =>
             {
                 return Outcome::Refused(refused)
             }
@@ -289,10 +286,10 @@
         if let Some(reason) = request.unusable_reason {
             return Outcome::Useless(application, reason);
         }
-        if request.stdout_size == 0 {
+        if request.stdout.is_empty() {
             return Outcome::Useless(application, "the application wrote no output");
         }
-        let output = joined(request.stdout_parts, request.stdout_size);
+        let output = request.stdout.freeze();
         match cgi::read(&output, self.limits.head) {
             Ok(head) if output.len() - head.length <= self.limits.body => {
                 let body = output.slice(head.length..);
--- a/crates/data-plane/fastcgi/src/server.rs
+++ b/crates/data-plane/fastcgi/src/server.rs
@@ -35,8 +35,9 @@
 enum Stage {
     /// The params are being received.
     Params(BytesMut),
-    /// The body is being received: the params, the parts of the body, and their size in bytes.
-    Body(Vec<Pair>, Vec<Bytes>, usize),
+    /// The body is being received: the params, and the body so far. It is copied, since a part shares the read buffer
+    /// of its connection.
+    Body(Vec<Pair>, BytesMut),
     /// The request was reported, as complete or invalid.
     Reported,
     /// The response is being written.
@@ -196,9 +197,8 @@
                 params.extend_from_slice(&bytes);
             }
             (kind::PARAMS, Stage::Params(_)) => self.reject(id, 431, "the params are too large", events),
-            (kind::STDIN, Stage::Body(_, parts, size)) if *size + bytes.len() <= limits.body => {
-                *size += bytes.len();
-                parts.push(bytes);
+            (kind::STDIN, Stage::Body(_, body)) if body.len() + bytes.len() <= limits.body => {
+                body.extend_from_slice(&bytes);
             }
             (kind::STDIN, Stage::Body(..)) => self.reject(id, 413, "the body is too large", events),
             _ => self.reject(id, 400, "records are out of order", events),
@@ -257,7 +257,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         match &mut request.stage {
             Stage::Params(params) => match pairs::read(params.split().freeze(), max_pairs) {
-                Ok(pairs) => request.stage = Stage::Body(pairs, Vec::new(), 0),
+                Ok(pairs) => request.stage = Stage::Body(pairs, BytesMut::new()),
                 Err(pairs::MalformedPairs::TooMany) => {
                     self.reject(id, 431, "there are too many params", events)
                 }
@@ -274,8 +274,8 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         match std::mem::replace(&mut request.stage, Stage::Reported) {
             Stage::Answered => request.stage = Stage::Answered,
-            Stage::Body(params, parts, size) => {
-                events.push(Event::Request(Request { id, params, body: joined(parts, size) }));
+            Stage::Body(params, body) => {
+                events.push(Event::Request(Request { id, params, body: body.freeze() }));
             }
             Stage::Params(_) => events.push(Event::Bad(id, 400, "records are out of order")),
             Stage::Reported => {}
@@ -338,16 +338,3 @@
         self.finish(id, 0, status);
     }
 }
-
-/// Joins the parts of a body; a single part is not copied.
-pub(crate) fn joined(mut parts: Vec<Bytes>, size: usize) -> Bytes {
-    match parts.len() {
-        0 => Bytes::new(),
-        1 => parts.remove(0),
-        _ => {
-            let mut joined = BytesMut::with_capacity(size);
-            parts.iter().for_each(|part| joined.extend_from_slice(part));
-            joined.freeze()
-        }
-    }
-}
--- a/crates/herondock/src/endpoint_sources/client.rs
+++ b/crates/herondock/src/endpoint_sources/client.rs
@@ -1,8 +1,9 @@
 //! HTTP/1.1 client for registries, with one persistent connection and limits on the time and size of responses.
 use crate::live_config::LiveConfig;
+use crate::message_body::{read_body, BodyError};
 use bytes::Bytes;
 use config::operator::Limits;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::header::{self, HeaderMap};
 use hyper::{Method, Request, StatusCode};
@@ -38,7 +39,7 @@
     Http(#[from] hyper::Error),
     /// The body cannot be read, or is too long.
     #[error("{0}")]
-    Body(#[from] Box<dyn std::error::Error + Send + Sync>),
+    Body(#[from] BodyError<hyper::Error>),
 }
 
 /// A request to a registry.
@@ -146,8 +147,8 @@
         }
         let response = connection.sender.send_request(builder.body(Full::new(request.body.clone()))?).await?;
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, limit).collect().await?;
-        Ok(ApiResponse { status: head.status, headers: head.headers, body: body.to_bytes() })
+        let body = read_body(body, limit).await?;
+        Ok(ApiResponse { status: head.status, headers: head.headers, body })
     }
 
     /// Returns the open connection to this address, or opens a new one if there is none or the server has closed it.
--- a/crates/herondock/src/front/http/admission.rs
+++ b/crates/herondock/src/front/http/admission.rs
@@ -6,12 +6,13 @@
 use crate::front::classify::{classify, Classification, RequestField, RequestHead, KEY};
 use crate::front::observed_stream::ConnectionActivity;
 use crate::http::{end_to_end_fields, DEADLINE, DECLINED, RETRY};
+use crate::message_body::{self, BodyError};
 use crate::request_budgets::FrontKind;
 use crate::routing::request_attributes::{RequestAttributes, RoutingError};
 use crate::routing::AdmittedRequest;
 use bytes::Bytes;
 use config::operator::Limits;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
@@ -182,16 +183,14 @@
     limits: &Limits,
 ) -> Result<Bytes, Rejection> {
     let too_large = || Box::new(reject_input(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
-    if body.size_hint().lower() > limits.body as u64 {
-        return Err(too_large());
-    }
-    if method == Method::Get && !body.is_end_stream() {
+    let is_too_large = body.size_hint().lower() > limits.body as u64;
+    if method == Method::Get && !body.is_end_stream() && !is_too_large {
         return Err(bad_request("GET has no body"));
     }
-    match timeout_at(due, Limited::new(body, limits.body).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(_)) => Err(bad_request("the body is broken")),
+    match timeout_at(due, message_body::read_body(body, limits.body)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge)) => Err(too_large()),
+        Ok(Err(BodyError::Broken(_))) => Err(bad_request("the body is broken")),
         Err(_) => Err(Box::new(reject_input(StatusCode::REQUEST_TIMEOUT, "the body did not come"))),
     }
 }
--- a/crates/herondock/src/transport/http.rs
+++ b/crates/herondock/src/transport/http.rs
@@ -2,11 +2,11 @@
 use super::connection_pool::{DialedConnection, Peer, PooledConnection, UpstreamProtocol};
 use crate::exchange::{Answer, Attempt, AttemptResult};
 use crate::http::{end_to_end_fields, to_headers, to_method, DEADLINE, DECLINED};
+use crate::message_body::read_body;
 use crate::stream::SharedStream;
 use balancer::AttemptOutcome;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body;
+use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -102,12 +102,12 @@
             }
         };
         attempt.record_usage(|name| answer.headers().get(name).map(HeaderValue::as_bytes));
-        if !has_unambiguous_length(&answer) || answer.body().size_hint().lower() > max_body as u64 {
+        if !has_unambiguous_length(&answer) {
             return (AttemptOutcome::Reset, None);
         }
         let ending = ending_of(&answer);
         let (head, body) = answer.into_parts();
-        let Ok(body) = Limited::new(body, max_body).collect().await else {
+        let Ok(body) = read_body(body, max_body).await else {
             return (AttemptOutcome::Reset, None);
         };
         // Returned before the outcome is reported, so that the next attempt can use this connection.
@@ -120,7 +120,7 @@
             AttemptOutcome::Ok => {
                 let used_header = attempt.used_field().and_then(|name| HeaderName::try_from(name).ok());
                 let fields = end_to_end_fields(&head.headers, |name| used_header.as_ref() == Some(name));
-                Some(Answer::Served { fields, body: body.to_bytes() })
+                Some(Answer::Served { fields, body })
             }
             // Invalid input of a client is no failure of the upstream, and another upstream would reject it as well.
             AttemptOutcome::Cancelled => Some(Answer::ClientError(head.status.as_u16())),
