Forget when a request was complete once the next one is delivered

Callers saw a balancer whose memory grew while one client sent small requests on one connection without a pause.

Cause: the time at which a request was read completely is kept until the request is admitted. Readiness checks, unknown paths and requests with a bad head are never admitted, so their entries stayed until the connection ended or a later request was admitted.

Change: passing a head to the service forgets the entries of all requests before it, whatever became of them.

--- a/crates/herondock/src/front/http/mod.rs
+++ b/crates/herondock/src/front/http/mod.rs
@@ -258,10 +258,10 @@
     /// Returns the response to a request.
     async fn respond(&self, request: hyper::Request<Incoming>, client: &ClientConnection) -> Response {
         let activity = &client.activity;
-        activity.heads_delivered.set(activity.heads_delivered.get() + 1);
+        let number = activity.deliver_head();
         // Guards against request smuggling: the connection closes after a request whose head states its length more
         // than once, and after a chunked body, whose end the observed stream does not track.
-        let ambiguous = activity.ambiguous_head.get() == Some(activity.heads_delivered.get());
+        let ambiguous = activity.ambiguous_head.get() == Some(number);
         let last = ambiguous || request.headers().contains_key(header::TRANSFER_ENCODING);
         let mut response = match request.uri().path() {
             _ if ambiguous => reject_input(StatusCode::BAD_REQUEST, "the length is stated in two ways"),
--- a/crates/herondock/src/front/observed_stream.rs
+++ b/crates/herondock/src/front/observed_stream.rs
@@ -26,8 +26,8 @@
     pub waiting_since: Cell<Instant>,
     /// Time at which the first byte of the last head was read.
     pub head_started: Cell<Instant>,
-    /// Times at which requests were read completely, by request number from 1, until they are taken. Bounded by the
-    /// amount that hyper reads ahead.
+    /// Times at which requests were read completely, by request number from 1, until they are taken or the next request
+    /// is delivered. Bounded by the amount that hyper reads ahead.
     complete_requests: RefCell<VecDeque<(u64, Instant)>>,
     /// Number, from 1, of a head that states the length of its body more than once.
     pub ambiguous_head: Cell<Option<u64>>,
@@ -47,15 +47,26 @@
         })
     }
 
+    /// Records that hyper has passed the next head to the service. Returns the number of the request.
+    pub fn deliver_head(&self) -> u64 {
+        let number = self.heads_delivered.get() + 1;
+        self.heads_delivered.set(number);
+        self.forget_before(number);
+        number
+    }
+
+    /// Forgets when requests before this number were complete: nobody asks for requests that were not admitted.
+    fn forget_before(&self, number: u64) {
+        let mut complete = self.complete_requests.borrow_mut();
+        while complete.pop_front_if(|&mut (n, _)| n < number).is_some() {}
+    }
+
     /// Takes the time at which the request with this number had been read completely. The client's deadline counts
     /// from then, not from the time at which earlier requests on the connection were answered. `None`: the end of the
     /// request is not tracked. Numbers must not decrease between calls.
     pub fn completed_at(&self, number: u64) -> Option<Instant> {
-        let mut completed = self.complete_requests.borrow_mut();
-        while completed.front().is_some_and(|&(n, _)| n < number) {
-            completed.pop_front();
-        }
-        completed.pop_front_if(|&mut (n, _)| n == number).map(|(_, time)| time)
+        self.forget_before(number);
+        self.complete_requests.borrow_mut().pop_front_if(|&mut (n, _)| n == number).map(|(_, time)| time)
     }
 
     /// Whether more has been read than the service has received.
