A new process at a listed address replaces the former one, whatever its stated start

Callers saw a keyed request that may have run sent again to an upstream that does not deduplicate its key.

Cause: where a list has two names at one address, the one with the later stated start applied, and several equally late ones counted as one process under several names, named after the first in order. That is right for registries in which a service has several names. On the platform each name is one process: a successor whose start is not stated, or whose machine's clock is behind, was taken for the process that had gone, with its group, its warmth and its record of failures. The same class in the driver: an endpoint that was removed and listed again with the same start kept its generation, so a connection of the former process could be returned to the pool.

Change: a source can state that its names are distinct processes, as the platform's source now does. Of several names at one address the one that arrived there last applies. A report that changes only a state is no arrival; one with another start is. A return after a removal is a new generation.

--- a/crates/data-plane/discovery/src/endpoint_set/merge.rs
+++ b/crates/data-plane/discovery/src/endpoint_set/merge.rs
@@ -1,22 +1,35 @@
 //! Merging of the reports of one endpoint.
 use super::{Endpoint, EndpointSet, Source};
 use crate::endpoint::{EndpointReport, EndpointState, Name};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+/// Precedence of a report among those of its source at one address; the highest applies, and several if they are equal.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Precedence {
+    /// Arrival of its process, only where every name is a process of its own.
+    arrival: Option<u64>,
+    registration_index: u64,
+    /// Decides between names that arrived together, only where every name is a process of its own.
+    tie_break: Option<(Reverse<EndpointState>, Name)>,
+}
+
 /// Reports of one endpoint that apply, by source and name.
 struct ApplicableReports<'a>(Vec<(&'a Source, &'a EndpointReport)>);
 
 impl<'a> ApplicableReports<'a> {
-    /// Within one source the latest registration applies; several equally late ones are one process under several names.
-    fn select(located: &[(&'a Source, &'a EndpointReport)]) -> ApplicableReports<'a> {
-        let latest_registration = |source: &Source| {
+    /// Selects the reports with the highest precedence of each source.
+    fn select(
+        located: &[(&'a Source, &'a EndpointReport)],
+        precedence: impl Fn(&Source, &EndpointReport) -> Precedence,
+    ) -> ApplicableReports<'a> {
+        let highest = |source: &Source| {
             let of_source = located.iter().filter(|(other, _)| *other == source);
-            of_source.map(|(_, report)| report.registration_index).max()
+            of_source.map(|(_, report)| precedence(source, report)).max()
         };
-        let latest = located
-            .iter()
-            .filter(|(source, report)| latest_registration(source) == Some(report.registration_index));
+        let latest =
+            located.iter().filter(|(source, report)| highest(source) == Some(precedence(source, report)));
         let mut applicable: Vec<_> = latest.copied().collect();
         applicable.sort_by(|a, b| (a.0, &a.1.name).cmp(&(b.0, &b.1.name)));
         ApplicableReports(applicable)
@@ -60,12 +73,25 @@
 }
 
 impl EndpointSet {
+    /// Within one source the latest registration applies; several equally late ones are one process under several names,
+    /// unless the source gives every process a name of its own: then the one that arrived last at the address applies,
+    /// whatever start its clock stated.
+    fn precedence(&self, source: &Source, report: &EndpointReport) -> Precedence {
+        let distinct = self.distinct_names.contains(source);
+        Precedence {
+            arrival: distinct.then(|| self.reports.arrival(&report.name, source)),
+            registration_index: report.registration_index,
+            tie_break: distinct.then(|| (Reverse(report.state), report.name.clone())),
+        }
+    }
+
     /// The endpoint of a name, merged from the reports at its address; `None` if there is none, or if the endpoint at
     /// the address has another name. [`Endpoint::accepts_requests`] is left to the caller.
     pub(super) fn merge_endpoint(&mut self, name: &Name, now_ms: f64) -> Option<Endpoint> {
         let addr = self.reports.addr_of(name)?;
         let located = self.reports.located_at(addr, name);
-        let applicable = ApplicableReports::select(&located);
+        let applicable =
+            ApplicableReports::select(&located, |source, report| self.precedence(source, report));
         let first = applicable.first()?;
         if first.name != *name {
             return None;
--- a/crates/data-plane/discovery/src/endpoint_set/mod.rs
+++ b/crates/data-plane/discovery/src/endpoint_set/mod.rs
@@ -5,13 +5,14 @@
 //! | one name from several sources | one endpoint; its most severe state and latest start apply |
 //! | one address from several sources, under any names | one endpoint, reported by each of them |
 //! | one address, two names in one source | the latest registration; the other endpoint is removed |
+//! | the same in a source whose names are distinct processes ([`EndpointSet::set_distinct_names`]) | the name that arrived last at the address |
 //! | a name that no source reports any more | the endpoint is removed |
 //! | no start time | started when the name was first seen at this address, or registered anew |
 //! | a name that is held out ([`EndpointSet::set_held_out`]) | draining; when it is not held out any more, it counts as started then |
 //! | no ready endpoint, some unhealthy ones | with `last_resort` ([`EndpointSet::new`]) the unhealthy ones accept requests |
 //!
 //! The result depends on the last report of each source only, not on the order of updates or on lost ones, except for
-//! start times that no source reports. The cost of an update is proportional to its changes: an endpoint is merged anew
+//! start times that no source reports and for names that share an address in a source of distinct names. The cost of an update is proportional to its changes: an endpoint is merged anew
 //! when a report of it, of its address, or of one that shares these changes.
 //!
 //! | module | contents |
@@ -101,6 +102,8 @@
 #[derive(Debug, Default)]
 pub struct EndpointSet {
     sources: BTreeMap<Source, SourceStatus>,
+    /// Sources that give every process a name of its own.
+    distinct_names: BTreeSet<Source>,
     reports: ReportIndex,
     endpoints: BTreeMap<Name, Endpoint>,
     last_resort: bool,
@@ -125,6 +128,12 @@
         self.sources.entry(source.clone()).or_default();
     }
 
+    /// States that a source gives every process a name of its own: of several names at one address only the one that
+    /// arrived last is a running process, even if the source still lists the others.
+    pub fn set_distinct_names(&mut self, source: &Source) {
+        self.distinct_names.insert(source.clone());
+    }
+
     /// All sources with their status.
     pub fn sources(&self) -> impl Iterator<Item = (&Source, &SourceStatus)> {
         self.sources.iter()
@@ -187,6 +196,7 @@
         status.updated_ms = Some(now_ms);
         status.error = None;
         let mut affected = BTreeSet::new();
+        self.reports.begin_update();
         for name in removed {
             self.remove_report(source, &name, &mut affected);
         }
--- a/crates/data-plane/discovery/src/endpoint_set/reports.rs
+++ b/crates/data-plane/discovery/src/endpoint_set/reports.rs
@@ -19,6 +19,10 @@
     by_name: BTreeMap<(Name, Source), EndpointReport>,
     by_addr: BTreeMap<SocketAddr, BTreeSet<(Name, Source)>>,
     first_seen: BTreeMap<Name, BTreeMap<SocketAddr, FirstSeen>>,
+    /// For each report, the number of the update with which its process arrived at its address.
+    arrivals: BTreeMap<(Name, Source), u64>,
+    /// Number of updates so far.
+    update_count: u64,
 }
 
 impl ReportIndex {
@@ -26,6 +30,16 @@
         self.by_name.get(&(name.clone(), source.clone()))
     }
 
+    /// Begins an update: reports that are inserted from now on arrive after all others.
+    pub(super) fn begin_update(&mut self) {
+        self.update_count += 1;
+    }
+
+    /// Number of the update with which the process of a report arrived at its address.
+    pub(super) fn arrival(&self, name: &Name, source: &Source) -> u64 {
+        self.arrivals.get(&(name.clone(), source.clone())).copied().unwrap_or(0)
+    }
+
     /// Reports of a name, by source.
     pub(super) fn of_name<'a>(
         &'a self,
@@ -73,7 +87,13 @@
         let key = (report.name.clone(), source.clone());
         self.by_addr.entry(report.addr).or_default().insert(key.clone());
         self.add_affected(&report, affected);
-        self.by_name.insert(key, report).is_none()
+        let registration_index = report.registration_index;
+        let before = self.by_name.insert(key.clone(), report);
+        // A report that only changes the state of a process is no arrival.
+        if before.as_ref().is_none_or(|before| before.registration_index != registration_index) {
+            self.arrivals.insert(key, self.update_count);
+        }
+        before.is_none()
     }
 
     /// Removes a report and adds the affected names.
@@ -85,6 +105,7 @@
     ) -> Option<EndpointReport> {
         let key = (name.clone(), source.clone());
         let report = self.by_name.remove(&key)?;
+        self.arrivals.remove(&key);
         // Added before the report is removed from its address, since the names that share the address are affected.
         self.add_affected(&report, affected);
         if let Some(keys) = self.by_addr.get_mut(&report.addr) {
--- a/crates/data-plane/discovery/tests/view.rs
+++ b/crates/data-plane/discovery/tests/view.rs
@@ -308,3 +308,29 @@
         prop_assert_eq!(set.endpoints().collect::<Vec<_>>(), fresh.endpoints().collect::<Vec<_>>());
     }
 }
+
+#[test]
+fn of_distinct_names_at_one_address_the_one_that_arrived_last_applies() {
+    let started = |name: &str, started_ms: u32, state| EndpointReport {
+        started_ms: Some(f64::from(started_ms)),
+        registration_index: u64::from(started_ms),
+        ..report(name, 1, state)
+    };
+    use EndpointState::{Draining, Ready};
+    let mut set = EndpointSet::new(true);
+    set.add_source(&source(0));
+    set.set_distinct_names(&source(0));
+    let mut apply = |update| drop(set.apply_update(1.0, &source(0), update));
+    apply(SourceUpdate::Full(vec![started("old", 500, Ready)]));
+    // The clock of the successor's machine may be behind, and the list may still contain the former process.
+    apply(SourceUpdate::Delta(vec![started("new", 300, Ready)], vec![]));
+    apply(SourceUpdate::Full(vec![started("new", 300, Ready), started("old", 500, Ready)]));
+    apply(SourceUpdate::Delta(vec![started("old", 500, Draining)], vec![]));
+    assert_eq!(names(&set), ["new"]);
+    assert!(endpoint(&set, "new").accepts_requests);
+    // A name that starts again at the address arrives again.
+    set.apply_update(2.0, &source(0), SourceUpdate::Delta(vec![started("old", 600, Ready)], vec![]));
+    assert_eq!(names(&set), ["old"]);
+    set.apply_update(3.0, &source(0), SourceUpdate::Delta(vec![], vec!["old".into()]));
+    assert_eq!(names(&set), ["new"]);
+}
--- a/crates/herondock/src/driver/state.rs
+++ b/crates/herondock/src/driver/state.rs
@@ -295,8 +295,11 @@
                 entry: entry.clone(),
                 usage_feedback: UsageFeedback::default(),
             });
-            // A new address or start time means a new process: connections to the former process are unusable.
-            if current.entry.addr != entry.addr || current.entry.member.started_at != member.started_at {
+            // A new address or start time means a new process, and so may a return after a removal: connections to the
+            // former process are unusable.
+            let returned = current.entry.member.availability == Availability::Gone;
+            let moved = current.entry.addr != entry.addr;
+            if returned || moved || current.entry.member.started_at != member.started_at {
                 current.upstream.process_replaced(entry.addr);
             }
             if current.entry.protocol != entry.protocol {
--- a/crates/herondock/src/endpoint_sources/aggregator.rs
+++ b/crates/herondock/src/endpoint_sources/aggregator.rs
@@ -202,6 +202,11 @@
         self.aggregator.add_source(self.source.rank, label, false)
     }
 
+    /// States that the source gives every process a name of its own; see [`EndpointSet::set_distinct_names`].
+    pub fn set_distinct_names(&self) {
+        self.aggregator.0.endpoint_set.borrow_mut().set_distinct_names(&self.source);
+    }
+
     /// Draws a random number in [0, 1), for jitter.
     pub fn draw(&self) -> f64 {
         self.aggregator.0.random.borrow_mut().gen()
--- a/crates/herondock/src/endpoint_sources/sources.rs
+++ b/crates/herondock/src/endpoint_sources/sources.rs
@@ -29,9 +29,11 @@
         limits: &LiveConfig<Limits>,
     ) -> Sources<A> {
         let registry = &operator.registry;
-        let platform = registry
-            .platform
-            .then(|| (protocol(registry.fastcgi), aggregator.add_source(0, PLATFORM_LABEL, true)));
+        let platform = registry.platform.then(|| {
+            let handle = aggregator.add_source(0, PLATFORM_LABEL, true);
+            handle.set_distinct_names();
+            (protocol(registry.fastcgi), handle)
+        });
         let mut services = Vec::new();
         for (index, settings) in registry.consul.iter().enumerate() {
             let rank = u16::try_from(index + 1).unwrap_or(u16::MAX);
