Keep the id of a request in use when its client left and an attempt may have run

Callers saw an unsafe request run twice: its client left, and the same id came again on another connection.

Cause: when a client leaves, its attempts are cancelled, which stops nothing at an upstream, and the id was released with the last of them. The next request with this id was a new one.

Change: driver/request_ids.rs owns the ids in use. The ids are known to one process only: a successor or another balancer does not have them.

--- a/crates/herondock/src/driver/mod.rs
+++ b/crates/herondock/src/driver/mod.rs
@@ -7,7 +7,9 @@
 //! | `mod.rs` | [`DriverHandle`], through which fronts, transports and endpoint sources reach the driver |
 //! | `state.rs` | requests, attempts, upstreams and timers |
 //! | `open_request.rs` | a request without a final answer, and an attempt in flight |
+//! | `request_ids.rs` | client-assigned ids that no new request may have |
 mod open_request;
+mod request_ids;
 mod state;
 
 use crate::descriptor_budget::DescriptorBudget;
@@ -17,12 +19,11 @@
 use balancer::{
     Action, AttemptOutcome, Balancer, Event, LearnedState, Membership, Millis, RequestId, UpstreamId,
 };
-use bytes::Bytes;
 use open_request::{InFlightAttempt, OpenRequest};
 use request_budget::grammar::RetryUsage;
+pub use request_ids::RequestIds;
 use state::{Driver, TimerKind};
 use std::cell::RefCell;
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
@@ -42,16 +43,16 @@
     /// The limit on open requests is reached.
     #[error("too many requests are open")]
     TooManyOpen,
-    /// A request with the same id is open.
-    #[error("a request with this id is open")]
+    /// A request with the same id is open, or one whose client has left may still run.
+    #[error("a request with this id is open or may still run")]
     DuplicateId,
 }
 
 /// Creates the transport of an upstream according to its protocol.
 pub type TransportFactory = Box<dyn Fn(&ListedEndpoint) -> Rc<dyn Upstream>>;
 
-/// Client-assigned ids of open requests, shared by the drivers of all pools.
-pub type OpenRequestIds = Rc<RefCell<HashSet<Bytes>>>;
+/// Client-assigned ids in use, shared by the drivers of all pools.
+pub type SharedRequestIds = Rc<RefCell<RequestIds>>;
 
 /// Configuration of a driver.
 pub struct DriverConfig {
@@ -70,8 +71,8 @@
     pub max_open: usize,
     /// Whether upstreams also shed work that they have begun: a rejection then does not prove that nothing ran.
     pub late_shedding: bool,
-    /// Client-assigned ids of open requests.
-    pub open_ids: OpenRequestIds,
+    /// Client-assigned ids in use.
+    pub request_ids: SharedRequestIds,
     /// Request counters of the process.
     pub counters: Rc<RequestCounters>,
     /// Latency objective of each class.
@@ -226,7 +227,7 @@
     /// Admits a request whose client waits for `timeout` milliseconds: from now on one final answer is owed.
     ///
     /// # Errors
-    /// Too many requests are open, or one with the same id is.
+    /// Too many requests are open, or the id is in use.
     pub fn admit(
         &self,
         class: usize,
--- a/crates/herondock/src/driver/open_request.rs
+++ b/crates/herondock/src/driver/open_request.rs
@@ -1,5 +1,5 @@
 //! A request without a final answer, and an attempt that has not ended.
-use crate::exchange::{Answer, BudgetGrant, FinalAnswer, Request};
+use crate::exchange::{Answer, BudgetGrant, FinalAnswer, Method, Request};
 use crate::request_counters::{self, RequestCounters};
 use balancer::{Millis, UpstreamId};
 use request_budget::grammar::RetryUsage;
@@ -25,6 +25,8 @@
     pub(super) attempts_in_flight: u32,
     /// Whether an attempt that has ended may have run.
     pub(super) may_have_run: bool,
+    /// Whether its client left before the final answer.
+    pub(super) is_abandoned: bool,
     /// Send time of the first attempt that may have run, or of an earlier one.
     pub(super) first_sent: Option<Instant>,
     /// Time after `first_sent` during which upstreams discard duplicates; `None`: unlimited.
@@ -70,6 +72,7 @@
         if self.take_reply().is_none() {
             return false;
         }
+        self.is_abandoned = true;
         request_counters::increment(&self.counters.abandoned);
         debug!(
             "request {}: its client has left, {} attempts sent, {} in flight",
@@ -80,6 +83,11 @@
         true
     }
 
+    /// Whether an attempt may have run of which no client has learned, and running it again could do harm.
+    pub(super) fn must_not_run_again(&self) -> bool {
+        self.is_abandoned && self.may_have_run && self.request.method != Method::Get
+    }
+
     fn count_served(&self) {
         request_counters::increment(&self.counters.served);
         if Instant::now() > self.late_at {
--- a/crates/herondock/src/driver/state.rs
+++ b/crates/herondock/src/driver/state.rs
@@ -1,6 +1,6 @@
 //! State of the driver: the decision module, requests and attempts in flight, upstreams and timers.
 use super::open_request::{InFlightAttempt, OpenRequest};
-use super::{AdmissionError, DriverConfig, OpenRequestIds, TransportFactory, ANSWER_MARGIN_MS};
+use super::{AdmissionError, DriverConfig, SharedRequestIds, TransportFactory, ANSWER_MARGIN_MS};
 use crate::descriptor_budget::DescriptorBudget;
 use crate::endpoint_sources::{EndpointUpdate, ListedEndpoint};
 use crate::exchange::{Answer, DrainGate, FinalAnswer, Request, Upstream};
@@ -58,7 +58,7 @@
     next_id: u32,
     /// Requests without a final answer or with attempts in flight.
     pub(super) open: HashMap<RequestId, OpenRequest>,
-    open_ids: OpenRequestIds,
+    request_ids: SharedRequestIds,
     counters: Rc<RequestCounters>,
     objectives: Vec<Duration>,
     dedup_windows: Vec<Option<Duration>>,
@@ -97,7 +97,7 @@
             shutdown_deadline: f64::INFINITY,
             next_id: 0,
             open: HashMap::new(),
-            open_ids: config.open_ids,
+            request_ids: config.request_ids,
             counters: config.counters,
             objectives: config.objectives,
             dedup_windows: config.dedup_windows,
@@ -124,7 +124,7 @@
     /// Admits a request: from now on one final answer is owed.
     ///
     /// # Errors
-    /// Too many requests are open, or one with the same id is.
+    /// Too many requests are open, or the id is in use.
     pub(super) fn admit(
         &mut self,
         class: usize,
@@ -139,9 +139,9 @@
         }
         // Prevents a request from reusing the id of another while any attempt of the other is in flight: upstreams
         // recognise retries by the id.
-        if request.id.as_ref().is_some_and(|id| !self.open_ids.borrow_mut().insert(id.clone())) {
+        if request.id.as_ref().is_some_and(|id| !self.request_ids.borrow_mut().claim(id, Instant::now())) {
             request_counters::increment(&self.counters.not_admitted);
-            debug!("request {}: not admitted, one with its id is open", request.label());
+            debug!("request {}: not admitted, its id is in use", request.label());
             return Err(AdmissionError::DuplicateId);
         }
         let id = self.next_request_id();
@@ -161,6 +161,7 @@
             attempts_sent: 0,
             attempts_in_flight: 0,
             may_have_run: false,
+            is_abandoned: false,
             first_sent: None,
             dedup_window: self.dedup_windows.get(class).copied().flatten(),
             retry_budget,
@@ -254,10 +255,16 @@
 
     /// Removes a request that has its final answer and no attempt in flight.
     pub(super) fn remove_if_done(&mut self, id: RequestId) {
-        if self.open.get(&id).is_some_and(|o| o.reply.is_none() && o.attempts_in_flight == 0) {
-            if let Some(request_id) = self.open.remove(&id).and_then(|o| o.request.id.clone()) {
-                self.open_ids.borrow_mut().remove(&request_id);
-            }
+        if !self.open.get(&id).is_some_and(|o| o.reply.is_none() && o.attempts_in_flight == 0) {
+            return;
+        }
+        let Some(open) = self.open.remove(&id) else { return };
+        let Some(request_id) = open.request.id.clone() else { return };
+        let mut request_ids = self.request_ids.borrow_mut();
+        if open.must_not_run_again() {
+            request_ids.retain_abandoned(request_id, Instant::now());
+        } else {
+            request_ids.release(&request_id);
         }
     }
 
--- a/crates/herondock/src/front/fastcgi/admission.rs
+++ b/crates/herondock/src/front/fastcgi/admission.rs
@@ -162,7 +162,7 @@
         match error {
             RoutingError::NotAdmitted(AdmissionError::TooManyOpen) => reject(Some(full_pause), ""),
             RoutingError::NotAdmitted(AdmissionError::DuplicateId) => {
-                Rejection::input(409, "a request with this id is open")
+                Rejection::input(409, "a request with this id is open or may still run")
             }
             RoutingError::Ambiguous(reason) => Rejection::bad_request(reason),
             RoutingError::NoRoute => Rejection::input(404, "there is no route for it"),
--- a/crates/herondock/src/front/http/admission.rs
+++ b/crates/herondock/src/front/http/admission.rs
@@ -161,7 +161,7 @@
         match error {
             RoutingError::NotAdmitted(AdmissionError::TooManyOpen) => reject(full_pause, ""),
             RoutingError::NotAdmitted(AdmissionError::DuplicateId) => {
-                reject_input(StatusCode::CONFLICT, "a request with this Req-Id is open")
+                reject_input(StatusCode::CONFLICT, "a request with this Req-Id is open or may still run")
             }
             RoutingError::Ambiguous(reason) => reject_input(StatusCode::BAD_REQUEST, reason),
             RoutingError::NoRoute => reject_input(StatusCode::NOT_FOUND, "there is no route for it"),
--- a/crates/herondock/src/run/wiring.rs
+++ b/crates/herondock/src/run/wiring.rs
@@ -1,6 +1,6 @@
 //! Builds the components of an instance: the pools with their drivers, the fronts, and the initial endpoint list.
 use crate::descriptor_budget::DescriptorBudget;
-use crate::driver::{DriverConfig, DriverHandle, OpenRequestIds};
+use crate::driver::{DriverConfig, DriverHandle, SharedRequestIds};
 use crate::endpoint_sources::cache;
 use crate::endpoint_sources::discovery::MAX_LOGGED_ENTRY_ERRORS;
 use crate::endpoint_sources::sources::{protocol, PLATFORM_LABEL};
@@ -108,7 +108,7 @@
             params: transport::fastcgi::Params(operator.fastcgi.params.clone()),
             multiplex: operator.fastcgi.multiplex,
         });
-        let open_ids = OpenRequestIds::default();
+        let request_ids = SharedRequestIds::default();
         let (clock, seed, deployment) = (self.clock, self.seed, self.deployment.clone());
         let (descriptors, counters) = (self.descriptors.clone(), self.counters.clone());
         Box::new(move |pool: &str| {
@@ -132,7 +132,7 @@
                 descriptors: descriptors.clone(),
                 max_open: usize::try_from(deployment.max_open).unwrap_or(usize::MAX),
                 late_shedding: policy.late_shedding,
-                open_ids: open_ids.clone(),
+                request_ids: request_ids.clone(),
                 counters: counters.clone(),
                 objectives: policy.classes.iter().map(objective).collect(),
                 dedup_windows: policy.classes.iter().map(dedup_window).collect(),
