Send nothing for a client that has left behind more bytes than were read

Callers saw requests sent on after their client had closed its connection, where it had written much that was unread.

Cause: the end of a stream is behind all that was written before it. The front reads one buffer behind the current request; while the rest fills the socket's buffer, the client's kernel still holds the end of the stream, and no event reports it. Each pipelined request was forwarded as it was reached, seconds after the close.

Change: the presence of a client is known only if everything that it has written has been read. At the end of the stream, or if more is left, nothing is sent; the request is refused, which promises no effect. Bytes keep the time at which they were read, so the deadline of a pipelined request counts from there. FastCGI connections are read all the time and need none of this.

Not measured: the cost of one or two more reads a request.

--- a/crates/herondock/src/exchange.rs
+++ b/crates/herondock/src/exchange.rs
@@ -72,6 +72,12 @@
     }
 }
 
+/// What is known of the client that waits for the answer to a request.
+pub trait ClientPresence {
+    /// Whether the client is certainly connected. Nothing is written for the request of one that may have left.
+    fn is_connected(&self) -> bool;
+}
+
 /// A complete request as it is forwarded to upstreams.
 pub struct Request {
     /// Client-assigned id, by which upstreams recognise retries.
@@ -88,6 +94,8 @@
     pub budget: Option<Box<CarriedBudget>>,
     /// Maximum number of attempts that the request's route allows; `None`: the route sets no limit.
     pub max_attempts: Option<u32>,
+    /// The client; `None`: its front reports at once that it has left.
+    pub client: Option<Rc<dyn ClientPresence>>,
     /// Set once the request has its final answer or its client is gone: nothing more is written for it.
     pub finished: Cell<bool>,
 }
@@ -108,6 +116,7 @@
             body: self.body.clone(),
             budget: self.budget.clone(),
             max_attempts: self.max_attempts,
+            client: self.client.clone(),
             finished: Cell::new(false),
         }
     }
@@ -244,19 +253,20 @@
 
     /// Whether the first byte of the attempt may be written now. A transport checks this right before it writes:
     /// since the decision to send, the upstream may have begun to drain, the attempt may have timed out, upstreams
-    /// may have stopped discarding duplicates, or the request may have finished.
+    /// may have stopped discarding duplicates, the request may have finished, or its client may have left.
     pub fn may_write(&self, now: Instant) -> bool {
         let allowed = !self.gate.closed(now)
             && now < self.deadline
             && self.dedup_deadline.is_none_or(|deadline| now < deadline)
-            && !self.request.finished.get();
+            && !self.request.finished.get()
+            && self.request.client.as_ref().is_none_or(|client| client.is_connected());
         debug!(
             "request {}: {}",
             self.request.label(),
             if allowed {
                 "is written"
             } else {
-                "is not written: its time has passed, its upstream drains or it has finished"
+                "is not written: its time has passed, its upstream drains, it has finished or its client may have left"
             }
         );
         allowed
--- a/crates/herondock/src/front/fastcgi/admission.rs
+++ b/crates/herondock/src/front/fastcgi/admission.rs
@@ -139,6 +139,7 @@
             body: request.body.clone(),
             budget,
             max_attempts: None,
+            client: None,
             finished: Cell::new(false),
         }
     }
--- a/crates/herondock/src/front/http/admission.rs
+++ b/crates/herondock/src/front/http/admission.rs
@@ -1,10 +1,10 @@
 //! Admission of requests: classifies a request by its head, reads its body and passes it to the pools.
 use super::response::{final_answer, reject_input, BodyNotRead, Response};
-use super::HttpFront;
+use super::{ClientConnection, HttpFront};
 use crate::driver::AdmissionError;
 use crate::exchange::{Answer, CarriedBudget, Method, Request};
 use crate::front::classify::{classify, Classification, RequestField, RequestHead, KEY};
-use crate::front::observed_stream::ConnectionActivity;
+use crate::front::read_ahead::Presence;
 use crate::http::{end_to_end_fields, DEADLINE, DECLINED, RETRY};
 use crate::message_body::{self, BodyError};
 use crate::request_budgets::FrontKind;
@@ -22,6 +22,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
+use tracing::debug;
 
 /// Position of this front in the routing table's fronts.
 const FRONT: usize = 0;
@@ -45,8 +46,9 @@
         &self,
         request: hyper::Request<Incoming>,
         body_due: Instant,
-        activity: &ConnectionActivity,
+        client: &ClientConnection,
     ) -> Result<Admitted, Rejection> {
+        let activity = &client.activity;
         let (number, head_started) = (activity.heads_delivered.get(), activity.head_started.get());
         let (head, body) = request.into_parts();
         let limits = self.limits.get();
@@ -60,6 +62,11 @@
                 response
             })?;
         let body = read_body(body, classification.method, body_due, &limits).await?;
+        let presence = client.read_ahead.presence();
+        if presence != Presence::Connected {
+            debug!("request {number} of {}: refused, its client is {presence:?}", client.peer);
+            return Err(Box::new(self.refusal(limits.full_pause, "more was sent than is read ahead")));
+        }
         // The time that the request waited behind others of its connection is part of the client's deadline.
         let waited =
             activity.completed_at(number).map_or(Duration::ZERO, |completed_at| completed_at.elapsed());
@@ -71,7 +78,8 @@
             carried.budget.left_ms = timeout_ms;
         }
         let reports_usage = budget.as_ref().is_some_and(|carried| carried.budget.reports_usage);
-        let request = upstream_request(&head, classification.method, body, budget);
+        let mut request = upstream_request(&head, classification.method, body, budget);
+        request.client = Some(client.read_ahead.clone());
         let Classification { class, tenant, method, .. } = classification;
         let host = || request_host(&head);
         let attributes = RequestAttributes {
@@ -147,17 +155,20 @@
         }
     }
 
+    /// Returns the response to a request that is refused before anything ran: a retry after `pause` does no harm.
+    fn refusal(&self, pause: Duration, reason: &str) -> Response {
+        let mut response = final_answer(Answer::Rejected { retry_after: pause.as_secs_f64() * 1000.0 });
+        if !reason.is_empty() {
+            *response.body_mut() = Full::new(Bytes::from(format!("{reason}\n")));
+        }
+        self.add_budget_fields(&mut response, None, true);
+        response
+    }
+
     /// Returns the response to a request that the pools did not admit. `full_pause`: advised delay before a retry if
     /// too many requests are open.
     fn routing_rejection(&self, error: RoutingError, full_pause: Duration) -> Response {
-        let reject = |pause: Duration, reason: &str| {
-            let mut response = final_answer(Answer::Rejected { retry_after: pause.as_secs_f64() * 1000.0 });
-            if !reason.is_empty() {
-                *response.body_mut() = Full::new(Bytes::from(format!("{reason}\n")));
-            }
-            self.add_budget_fields(&mut response, None, true);
-            response
-        };
+        let reject = |pause: Duration, reason: &str| self.refusal(pause, reason);
         match error {
             RoutingError::NotAdmitted(AdmissionError::TooManyOpen) => reject(full_pause, ""),
             RoutingError::NotAdmitted(AdmissionError::DuplicateId) => {
@@ -218,6 +229,7 @@
         body,
         budget,
         max_attempts: None,
+        client: None,
         finished: Cell::new(false),
     }
 }
--- a/crates/herondock/src/front/http/mod.rs
+++ b/crates/herondock/src/front/http/mod.rs
@@ -12,6 +12,7 @@
 mod response;
 
 use super::observed_stream::{ConnectionActivity, ObservedStream};
+use super::read_ahead::ReadAhead;
 use super::{ShutdownPhase, ShutdownProgress};
 use crate::descriptor_budget::{CallerPermit, DescriptorBudget};
 use crate::exchange::{Answer, FinalAnswer};
@@ -91,6 +92,8 @@
     peer: SocketAddr,
     activity: Rc<ConnectionActivity>,
     stream: SharedStream,
+    /// Bytes that were read behind the current request.
+    read_ahead: Rc<ReadAhead>,
     /// Notified when the connection is evicted to make room for another.
     evicted: Rc<Notify>,
     /// Key of the connection among the idle ones while it is between requests.
@@ -172,10 +175,12 @@
     fn register(&self, stream: TcpStream, peer: SocketAddr) -> Rc<ClientConnection> {
         let evicted = Rc::new(Notify::new());
         let idle_slot = Cell::new(Some(self.idle.insert(false, &evicted)));
+        let stream = SharedStream::new(stream);
         Rc::new(ClientConnection {
             peer,
             activity: ConnectionActivity::new(),
-            stream: SharedStream::new(stream),
+            read_ahead: Rc::new(ReadAhead::new(stream.clone())),
+            stream,
             evicted,
             idle_slot,
             rejected_input: Cell::new(false),
@@ -210,7 +215,12 @@
             }
         });
         let max_head_bytes = self.limits.get().head;
-        let stream = ObservedStream::new(client.stream.clone(), client.activity.clone(), max_head_bytes);
+        let stream = ObservedStream::new(
+            client.stream.clone(),
+            client.read_ahead.clone(),
+            client.activity.clone(),
+            max_head_bytes,
+        );
         let connection = http1::Builder::new()
             .max_buf_size(max_head_bytes)
             .serve_connection(TokioIo::new(stream), service);
@@ -246,7 +256,7 @@
             if partial_head && newcomer {
                 return reason;
             }
-            if client.idle_slot.get().is_some() && !partial_head && client.stream.is_idle() {
+            if client.idle_slot.get().is_some() && !partial_head && client.has_written_nothing() {
                 connection.as_mut().graceful_shutdown();
                 // Limited in time, because a client may never read its answer.
                 let _ = timeout(self.limits.get().flush_wait, connection.as_mut()).await;
@@ -269,9 +279,7 @@
                 empty_response(StatusCode::OK)
             }
             READINESS_PATH => empty_response(StatusCode::SERVICE_UNAVAILABLE),
-            path if path == SERVICE_PATH || path.starts_with("/api/") => {
-                self.forward(request, activity).await
-            }
+            path if path == SERVICE_PATH || path.starts_with("/api/") => self.forward(request, client).await,
             _ => empty_response(StatusCode::NOT_FOUND),
         };
         let rejected =
@@ -280,7 +288,7 @@
         // During a shutdown, requests that were already sent after this one are still answered.
         let closing = self.shutdown.borrow().phase >= ShutdownPhase::ClosingConnections
             && !activity.has_undelivered()
-            && client.stream.is_idle();
+            && client.has_written_nothing();
         if rejected || last || closing {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
@@ -288,9 +296,9 @@
     }
 
     /// Admits a request to the pools and waits for its final answer.
-    async fn forward(&self, request: hyper::Request<Incoming>, activity: &ConnectionActivity) -> Response {
-        let body_due = activity.waiting_since.get() + self.limits.get().request_wait;
-        let Admitted { request, reports_usage } = match self.admit(request, body_due, activity).await {
+    async fn forward(&self, request: hyper::Request<Incoming>, client: &ClientConnection) -> Response {
+        let body_due = client.activity.waiting_since.get() + self.limits.get().request_wait;
+        let Admitted { request, reports_usage } = match self.admit(request, body_due, client).await {
             Ok(admitted) => admitted,
             Err(rejection) => return *rejection,
         };
@@ -311,6 +319,11 @@
 }
 
 impl ClientConnection {
+    /// Whether the client has written nothing that is unread.
+    fn has_written_nothing(&self) -> bool {
+        self.read_ahead.is_empty() && self.stream.is_idle()
+    }
+
     /// Returns once the client has exceeded its idle or request timeout.
     async fn wait_timed_out(&self, limits: &LiveConfig<Limits>) {
         let activity = &self.activity;
--- a/crates/herondock/src/front/mod.rs
+++ b/crates/herondock/src/front/mod.rs
@@ -3,6 +3,7 @@
 pub mod fastcgi;
 pub mod http;
 mod observed_stream;
+mod read_ahead;
 
 /// Phases of graceful shutdown, as fronts see them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/herondock/src/front/observed_stream.rs
+++ b/crates/herondock/src/front/observed_stream.rs
@@ -1,5 +1,6 @@
 //! Observes the bytes of a client before hyper parses them: hyper drops `Content-Length` if there is a
 //! `Transfer-Encoding`, and does not report a partial head.
+use super::read_ahead::ReadAhead;
 use crate::stream::SharedStream;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -88,6 +89,8 @@
 /// A client's stream, observed while it is read.
 pub struct ObservedStream {
     stream: SharedStream,
+    /// Bytes that were read before the protocol library asked for them.
+    read_ahead: Rc<ReadAhead>,
     activity: Rc<ConnectionActivity>,
     head: Vec<u8>,
     /// Maximum size of a head; hyper rejects larger ones.
@@ -97,9 +100,16 @@
 
 impl ObservedStream {
     /// Observes a new stream, whose heads have at most `max_bytes` bytes, and records its activity in `record`.
-    pub fn new(stream: SharedStream, record: Rc<ConnectionActivity>, max_bytes: usize) -> ObservedStream {
+    /// `read_ahead` has bytes of the stream that were read before.
+    pub fn new(
+        stream: SharedStream,
+        read_ahead: Rc<ReadAhead>,
+        record: Rc<ConnectionActivity>,
+        max_bytes: usize,
+    ) -> ObservedStream {
         ObservedStream {
             stream,
+            read_ahead,
             activity: record,
             head: Vec::new(),
             max_head_bytes: max_bytes,
@@ -107,7 +117,8 @@
         }
     }
 
-    fn observe(&mut self, mut bytes: &[u8]) {
+    /// Observes bytes that were read at `read_at`.
+    fn observe(&mut self, mut bytes: &[u8], read_at: Instant) {
         while !bytes.is_empty() {
             match self.position {
                 FramePosition::Untracked => return,
@@ -117,35 +128,31 @@
                     self.position = if left > consumed as u64 {
                         FramePosition::Body(left - consumed as u64)
                     } else {
-                        self.complete_request()
+                        self.complete_request(read_at)
                     };
                 }
-                FramePosition::Head => bytes = self.observe_head(bytes),
+                FramePosition::Head => bytes = self.observe_head(bytes, read_at),
             }
         }
         self.activity.partial_head.set(!self.head.is_empty());
     }
 
     /// Records that the last byte of a request has been read.
-    fn complete_request(&self) -> FramePosition {
-        self.activity
-            .complete_requests
-            .borrow_mut()
-            .push_back((self.activity.heads_read.get(), Instant::now()));
+    fn complete_request(&self, read_at: Instant) -> FramePosition {
+        self.activity.complete_requests.borrow_mut().push_back((self.activity.heads_read.get(), read_at));
         FramePosition::Head
     }
 
     /// Observes bytes of a head and returns the bytes after it.
-    fn observe_head<'a>(&mut self, mut bytes: &'a [u8]) -> &'a [u8] {
+    fn observe_head<'a>(&mut self, mut bytes: &'a [u8], read_at: Instant) -> &'a [u8] {
         if self.head.is_empty() {
             // Empty lines before a request are allowed.
             let blank = bytes.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
             bytes = &bytes[blank..];
             if !bytes.is_empty() {
-                let now = Instant::now();
-                self.activity.head_started.set(now);
+                self.activity.head_started.set(read_at);
                 if self.activity.heads_delivered.get() > 0 {
-                    self.activity.waiting_since.set(now);
+                    self.activity.waiting_since.set(Instant::now());
                 }
             }
         }
@@ -159,7 +166,7 @@
             if self.head.ends_with(b"\n\r\n") || self.head.ends_with(b"\n\n") {
                 self.activity.heads_read.set(self.activity.heads_read.get() + 1);
                 self.position = match framing(&self.head) {
-                    Ok(FramePosition::Body(0)) => self.complete_request(),
+                    Ok(FramePosition::Body(0)) => self.complete_request(read_at),
                     Ok(position) => position,
                     Err(AmbiguousLength) => {
                         self.activity.ambiguous_head.set(Some(self.activity.heads_read.get()));
@@ -213,8 +220,14 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        self.observe(&buf.filled()[before..]);
+        let read_at = match self.read_ahead.take(buf) {
+            Some(read_at) => read_at,
+            None => {
+                ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+                Instant::now()
+            }
+        };
+        self.observe(&buf.filled()[before..], read_at);
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/herondock/src/stream.rs
+++ b/crates/herondock/src/stream.rs
@@ -1,6 +1,6 @@
 //! A socket that can be inspected while a protocol library reads from it and writes to it.
 use std::future::pending;
-use std::io;
+use std::io::{self, Read};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
@@ -26,6 +26,14 @@
         peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Reads what the operating system holds, without waiting. Asks it directly, like [`SharedStream::is_idle`].
+    ///
+    /// # Errors
+    /// `WouldBlock` if there is nothing to read, or the error of the connection.
+    pub fn read_now(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        (&*socket2::SockRef::from(&*self.0)).read(buffer)
+    }
+
     /// Returns once the peer has closed or reset the connection, even if earlier bytes are still unread.
     pub async fn hung_up(&self) {
         // Waits for urgent data, which peers do not send: readiness for it reports the end of the stream but not
--- a/crates/herondock/src/transport/fastcgi/tests.rs
+++ b/crates/herondock/src/transport/fastcgi/tests.rs
@@ -12,6 +12,7 @@
         body: Bytes::from_static(b"body"),
         budget: None,
         max_attempts: None,
+        client: None,
         finished: Cell::new(false),
     };
     let declared = Params(vec![("SCRIPT_FILENAME".into(), "/srv{path}".into())]);
--- a/crates/herondock/src/transport/http/tests.rs
+++ b/crates/herondock/src/transport/http/tests.rs
@@ -29,6 +29,7 @@
         body: Bytes::new(),
         budget: None,
         max_attempts: None,
+        client: None,
         finished: Cell::new(false),
     };
     let timeout_at = Instant::now() + Duration::from_secs(5);
--- a/crates/herondock/tests/callers.rs
+++ b/crates/herondock/tests/callers.rs
@@ -268,3 +268,15 @@
     assert_eq!(upstream.next_request().header("req-id"), Some("r2"), "the first id did not run again");
     assert_eq!(upstream.count_new_requests(), 0);
 }
+
+#[test]
+fn pipelined_requests_within_the_read_ahead_are_all_served() {
+    const REQUESTS: usize = 100;
+    let upstream = Upstream::start(|_| ok("x"));
+    let node = with(&[upstream.addr]);
+    let requests: String = (0..REQUESTS).map(|n| pay(&format!("r{n}"), "20000m")).collect();
+    let mut client = node.client_with_request(&requests);
+    for n in 0..REQUESTS {
+        assert_eq!(client.answer().expect("an answer").status(), 200, "request {n}");
+    }
+}
