Keep clients and message bodies within the memory limit of the settings

Callers saw balancers killed for memory with hundreds of clients half way through large requests.

Cause: limits.memory_mb of the platform's configuration was never read. Each connection and each body had a limit of its own, but the sum was limited by descriptors alone: 3,000 clients with 64 KiB each are more than 192 MB. The class: limits of the settings that are passed over because limits of single parts exist.

Change: memory_budget.rs. A third of the limit is for connections of clients and bounds their number, where descriptors allow more (1,302 for 192 MB; with 1,024 descriptors 750 as before); a third is for bodies, counted by the capacity of their buffers until the last user drops them. A request that finds no room is refused unforwarded (503, Retry-After). Answers may use a quarter more of that third than requests; one that finds no room counts as a broken connection, after which the request may have run. No or no positive memory_mb: no limit, as before. Not counted: FastCGI bodies, which the number of clients bounds, and endpoint lists, which limits.list bounds.

--- a/crates/herondock/src/descriptor_budget.rs
+++ b/crates/herondock/src/descriptor_budget.rs
@@ -20,12 +20,13 @@
 }
 
 impl DescriptorBudget {
-    /// Creates the budget of a process that may open this many descriptors. Clients may hold three quarters of it, so that
-    /// connections to upstreams are always possible; upstream connections may hold all that clients leave.
-    pub fn new(descriptors: usize) -> DescriptorBudget {
+    /// Creates the budget of a process that may open this many descriptors. Clients may hold three quarters of it, and at
+    /// most `max_clients`, so that connections to upstreams are always possible; upstream connections may hold all that
+    /// clients leave.
+    pub fn new(descriptors: usize, max_clients: usize) -> DescriptorBudget {
         let budget =
             u32::try_from(descriptors.saturating_sub(RESERVED_DESCRIPTORS)).unwrap_or(u32::MAX).min(1 << 20);
-        let caller_limit = budget / 4 * 3;
+        let caller_limit = (budget / 4 * 3).min(u32::try_from(max_clients).unwrap_or(u32::MAX));
         let semaphore = |permits: u32| Arc::new(Semaphore::new(permits as usize));
         DescriptorBudget {
             all: semaphore(budget),
--- a/crates/herondock/src/endpoint_sources/client.rs
+++ b/crates/herondock/src/endpoint_sources/client.rs
@@ -147,7 +147,7 @@
         }
         let response = connection.sender.send_request(builder.body(Full::new(request.body.clone()))?).await?;
         let (head, body) = response.into_parts();
-        let body = read_body(body, limit).await?;
+        let body = read_body(body, limit, None).await?;
         Ok(ApiResponse { status: head.status, headers: head.headers, body })
     }
 
--- a/crates/herondock/src/front/http/admission.rs
+++ b/crates/herondock/src/front/http/admission.rs
@@ -6,6 +6,7 @@
 use crate::front::classify::{classify, Classification, RequestField, RequestHead, KEY};
 use crate::front::read_ahead::Presence;
 use crate::http::{end_to_end_fields, DEADLINE, DECLINED, RETRY};
+use crate::memory_budget::Purpose;
 use crate::message_body::{self, BodyError};
 use crate::request_budgets::FrontKind;
 use crate::routing::request_attributes::{RequestAttributes, RoutingError};
@@ -61,7 +62,7 @@
                 }
                 response
             })?;
-        let body = read_body(body, classification.method, body_due, &limits).await?;
+        let body = self.read_body(body, classification.method, body_due, &limits).await?;
         let presence = client.read_ahead.presence();
         if presence != Presence::Connected {
             debug!("request {number} of {}: refused, its client is {presence:?}", client.peer);
@@ -165,6 +166,34 @@
         response
     }
 
+    /// Reads the complete body, which is limited in size and has to be complete at `due`.
+    async fn read_body(
+        &self,
+        body: Incoming,
+        method: Method,
+        due: Instant,
+        limits: &Limits,
+    ) -> Result<Bytes, Rejection> {
+        let is_too_large = body.size_hint().lower() > limits.body as u64;
+        if method == Method::Get && !body.is_end_stream() && !is_too_large {
+            return Err(bad_request("GET has no body"));
+        }
+        let reservation = Some(self.memory.reservation(Purpose::Request));
+        let reading = message_body::read_body(body, limits.body, reservation);
+        let too_late = || Box::new(reject_input(StatusCode::REQUEST_TIMEOUT, "the body did not come"));
+        timeout_at(due, reading).await.map_err(|_| too_late())?.map_err(|error| match error {
+            BodyError::TooLarge => {
+                Box::new(reject_input(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
+            }
+            BodyError::NoMemory => {
+                let mut response = self.refusal(limits.full_pause, "there is no memory left for the body");
+                response.extensions_mut().insert(BodyNotRead);
+                Box::new(response)
+            }
+            BodyError::Broken(_) => bad_request("the body is broken"),
+        })
+    }
+
     /// Returns the response to a request that the pools did not admit. `full_pause`: advised delay before a retry if
     /// too many requests are open.
     fn routing_rejection(&self, error: RoutingError, full_pause: Duration) -> Response {
@@ -186,26 +215,6 @@
     Box::new(reject_input(StatusCode::BAD_REQUEST, reason))
 }
 
-/// Reads the complete body, which is limited in size and has to be complete at `due`.
-async fn read_body(
-    body: Incoming,
-    method: Method,
-    due: Instant,
-    limits: &Limits,
-) -> Result<Bytes, Rejection> {
-    let too_large = || Box::new(reject_input(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
-    let is_too_large = body.size_hint().lower() > limits.body as u64;
-    if method == Method::Get && !body.is_end_stream() && !is_too_large {
-        return Err(bad_request("GET has no body"));
-    }
-    match timeout_at(due, message_body::read_body(body, limits.body)).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::TooLarge)) => Err(too_large()),
-        Ok(Err(BodyError::Broken(_))) => Err(bad_request("the body is broken")),
-        Err(_) => Err(Box::new(reject_input(StatusCode::REQUEST_TIMEOUT, "the body did not come"))),
-    }
-}
-
 /// Creates the request that is forwarded to upstreams, without the fields of this hop.
 fn upstream_request(
     head: &Parts,
--- a/crates/herondock/src/front/http/mod.rs
+++ b/crates/herondock/src/front/http/mod.rs
@@ -17,6 +17,7 @@
 use crate::descriptor_budget::{CallerPermit, DescriptorBudget};
 use crate::exchange::{Answer, FinalAnswer};
 use crate::live_config::LiveConfig;
+use crate::memory_budget::MemoryBudget;
 use crate::request_budgets::BudgetPolicy;
 use crate::request_counters::{CloseReason, RequestCounters};
 use crate::routing::Pools;
@@ -72,6 +73,8 @@
     pub budgets: Option<Rc<BudgetPolicy>>,
     /// Counters of the process.
     pub counters: Rc<RequestCounters>,
+    /// Budget of the process's memory.
+    pub memory: MemoryBudget,
 }
 
 /// The HTTP front.
@@ -83,6 +86,7 @@
     shutdown: watch::Receiver<ShutdownProgress>,
     budgets: Option<Rc<BudgetPolicy>>,
     counters: Rc<RequestCounters>,
+    memory: MemoryBudget,
     idle: IdleConnections,
 }
 
@@ -105,9 +109,20 @@
 impl HttpFront {
     /// Creates a front that does not accept yet.
     pub fn new(config: HttpFrontConfig) -> Rc<HttpFront> {
-        let HttpFrontConfig { pools, deployment, descriptors, limits, shutdown, budgets, counters } = config;
+        let HttpFrontConfig { pools, deployment, descriptors, limits, shutdown, budgets, counters, memory } =
+            config;
         let idle = IdleConnections::default();
-        Rc::new(HttpFront { pools, deployment, descriptors, limits, shutdown, budgets, counters, idle })
+        Rc::new(HttpFront {
+            pools,
+            deployment,
+            descriptors,
+            limits,
+            shutdown,
+            budgets,
+            counters,
+            memory,
+            idle,
+        })
     }
 
     /// Accepts clients until the shutdown stops it. Returns once every connection has ended.
--- a/crates/herondock/src/main.rs
+++ b/crates/herondock/src/main.rs
@@ -12,6 +12,7 @@
 mod http;
 mod listener_handoff;
 mod live_config;
+mod memory_budget;
 mod message_body;
 mod node_config;
 mod request_budgets;
--- a/crates/herondock/src/node_config.rs
+++ b/crates/herondock/src/node_config.rs
@@ -17,6 +17,8 @@
 const DEFAULT_DESCRIPTORS: usize = 1024;
 /// Minimum limit on file descriptors; fewer are not enough for clients and upstreams.
 const MIN_DESCRIPTORS: usize = 64;
+/// Bytes in the unit of `limits.memory_mb`.
+const BYTES_PER_MB: f64 = 1e6;
 /// Maximum grace period of drains, in milliseconds; longer ones are reduced to it.
 const MAX_DRAIN_GRACE_MS: f64 = 60_000.0;
 
@@ -84,6 +86,7 @@
 #[derive(Deserialize, Default)]
 struct RawLimits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 /// The configuration of one balancer.
@@ -98,6 +101,8 @@
     pub seed: u64,
     /// Maximum number of file descriptors of the process.
     pub max_descriptors: usize,
+    /// Maximum memory of the process, in bytes; `None`: no limit above 0 is stated.
+    pub max_memory: Option<usize>,
     /// Last endpoint list of this balancer that the platform saved; its age is unknown.
     pub cached_endpoints: Option<EndpointListResponse>,
     /// Settings of the decision module and of connections.
@@ -156,6 +161,8 @@
             discovery: raw.discovery,
             seed,
             max_descriptors,
+            // Saturates at the largest number.
+            max_memory: raw.limits.memory_mb.filter(|mb| *mb > 0.0).map(|mb| (mb * BYTES_PER_MB) as usize),
             cached_endpoints: known.map_err(|e| InvalidNodeConfig::field("known", e))?,
             deployment,
             fingerprint: hashing::stable(raw.settings.get().as_bytes()),
--- a/crates/herondock/src/node_config/tests.rs
+++ b/crates/herondock/src/node_config/tests.rs
@@ -1,7 +1,7 @@
 use super::NodeConfig;
 
 const VALID: &str = r#"{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:9",
-    "seed":"8c1f30d27a5be964","limits":{"sockets":1024},
+    "seed":"8c1f30d27a5be964","limits":{"sockets":1024,"memory_mb":192},
     "known":{"version":4,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.1:10","zone":"a","kind":"m2",
         "cell":3,"state":"active","weight":1.0,"started_ms":0}]},
     "settings":{"balancers":2,"index":1,"membership_mode":"on_request","dcs":["a"],"kinds":["m1","m2"],
@@ -13,8 +13,8 @@
 fn a_complete_configuration_is_parsed() {
     let config = NodeConfig::parse(VALID.as_bytes()).unwrap();
     assert_eq!(
-        (config.seed, config.max_descriptors, config.deployment.dial_timeout),
-        (0x8c1f_30d2_7a5b_e964, 1024, 250.0)
+        (config.seed, config.max_descriptors, config.max_memory, config.deployment.dial_timeout),
+        (0x8c1f_30d2_7a5b_e964, 1024, Some(192_000_000), 250.0)
     );
     let list = config.cached_endpoints.expect("an endpoint list");
     assert_eq!((list.version, &*list.reports()[0].kind, list.reports()[0].cell), (4, "m2", 3));
--- a/crates/herondock/src/run/mod.rs
+++ b/crates/herondock/src/run/mod.rs
@@ -25,6 +25,7 @@
 use crate::front::{fastcgi, ShutdownProgress};
 use crate::listener_handoff::transferred_state::TransferredState;
 use crate::live_config::LiveConfig;
+use crate::memory_budget::MemoryBudget;
 use crate::node_config::{self, NodeConfig};
 use crate::request_budgets::BudgetPolicy;
 use crate::request_counters::RequestCounters;
@@ -104,6 +105,7 @@
         obtain_listener(&node, &daemon).await?;
     let NodeConfig { name, discovery, seed, max_descriptors, cached_endpoints, .. } = node;
     let (mut deployment, fingerprint) = (node.deployment, node.fingerprint);
+    let memory = MemoryBudget::new(node.max_memory);
     let budgets = BudgetPolicy::from_config(&operator.budget, deployment.policy.stage)?;
     if budgets.is_some() {
         wiring::apply_budget(&mut deployment.policy, &operator.budget);
@@ -114,7 +116,8 @@
         seed,
         deployment,
         limits: LiveConfig::new(operator.limits.clone()),
-        descriptors: DescriptorBudget::new(max_descriptors),
+        descriptors: DescriptorBudget::new(max_descriptors, memory.max_clients(operator.limits.head)),
+        memory,
         counters: Rc::new(RequestCounters::default()),
         budgets,
         shutdown,
--- a/crates/herondock/src/run/wiring.rs
+++ b/crates/herondock/src/run/wiring.rs
@@ -7,6 +7,7 @@
 use crate::front::{fastcgi, http, ShutdownProgress};
 use crate::listener_handoff::transferred_state::TransferredState;
 use crate::live_config::LiveConfig;
+use crate::memory_budget::MemoryBudget;
 use crate::request_budgets::BudgetPolicy;
 use crate::request_counters::{self, RequestCounters};
 use crate::routing::{DriverFactory, Pools};
@@ -66,6 +67,8 @@
     pub limits: LiveConfig<Limits>,
     /// Budget of file descriptors of the process.
     pub descriptors: DescriptorBudget,
+    /// Budget of the process's memory.
+    pub memory: MemoryBudget,
     /// Request counters of the process.
     pub counters: Rc<RequestCounters>,
     /// Policy of request budgets; `None` if they are disabled.
@@ -145,6 +148,7 @@
             dial_timeout: duration_from_ms(self.deployment.dial_timeout),
             upstream_idle_timeout: duration_from_ms(self.deployment.policy.idle_close.min(MAX_DURATION_MS)),
             descriptors: self.descriptors.clone(),
+            memory: self.memory.clone(),
             limits: self.limits.clone(),
         }
     }
@@ -159,6 +163,7 @@
             shutdown: self.shutdown.clone(),
             budgets: self.budgets.clone(),
             counters: self.counters.clone(),
+            memory: self.memory.clone(),
         })
     }
 
--- a/crates/herondock/src/transport/connection_pool.rs
+++ b/crates/herondock/src/transport/connection_pool.rs
@@ -2,6 +2,7 @@
 use crate::descriptor_budget::DescriptorBudget;
 use crate::exchange::{Attempt, AttemptFuture, AttemptResult, DrainGate, Upstream};
 use crate::live_config::LiveConfig;
+use crate::memory_budget::MemoryBudget;
 use crate::stream::SharedStream;
 use balancer::AttemptOutcome;
 use config::operator::Limits;
@@ -41,6 +42,8 @@
     pub upstream_idle_timeout: Duration,
     /// Budget of the process's file descriptors.
     pub descriptors: DescriptorBudget,
+    /// Budget of the process's memory.
+    pub memory: MemoryBudget,
     /// Limits on sizes and waits.
     pub limits: LiveConfig<Limits>,
 }
--- a/crates/herondock/src/transport/http.rs
+++ b/crates/herondock/src/transport/http.rs
@@ -2,6 +2,7 @@
 use super::connection_pool::{DialedConnection, Peer, PooledConnection, UpstreamProtocol};
 use crate::exchange::{Answer, Attempt, AttemptResult};
 use crate::http::{end_to_end_fields, to_headers, to_method, DEADLINE, DECLINED};
+use crate::memory_budget::Purpose;
 use crate::message_body::read_body;
 use crate::stream::SharedStream;
 use balancer::AttemptOutcome;
@@ -107,7 +108,8 @@
         }
         let ending = ending_of(&answer);
         let (head, body) = answer.into_parts();
-        let Ok(body) = read_body(body, max_body).await else {
+        let reservation = peer.settings.memory.reservation(Purpose::Answer);
+        let Ok(body) = read_body(body, max_body, Some(reservation)).await else {
             return (AttemptOutcome::Reset, None);
         };
         // Returned before the outcome is reported, so that the next attempt can use this connection.
--- a/crates/herondock/src/transport/http/tests.rs
+++ b/crates/herondock/src/transport/http/tests.rs
@@ -2,6 +2,7 @@
 use crate::descriptor_budget::DescriptorBudget;
 use crate::exchange::{DrainGate, Fields, Method, Upstream};
 use crate::live_config::LiveConfig;
+use crate::memory_budget::MemoryBudget;
 use crate::transport::connection_pool::ConnectionSettings;
 use config::operator::Limits;
 use std::cell::Cell;
@@ -11,10 +12,10 @@
 use tokio::task::LocalSet;
 
 fn upstream(sockets: DescriptorBudget, addr: SocketAddr) -> Rc<Peer<Http>> {
-    let limits = LiveConfig::new(Limits::default());
+    let (limits, memory) = (LiveConfig::new(Limits::default()), MemoryBudget::new(None));
     let (dial_timeout, upstream_idle_timeout) = (Duration::from_secs(5), Duration::from_secs(60));
     Peer::new(
-        ConnectionSettings { dial_timeout, upstream_idle_timeout, descriptors: sockets, limits },
+        ConnectionSettings { dial_timeout, upstream_idle_timeout, descriptors: sockets, memory, limits },
         Http,
         addr,
     )
@@ -54,7 +55,8 @@
 fn no_retry_is_written_after_the_dedup_window() {
     run_local(async {
         let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
-        let upstream = upstream(DescriptorBudget::new(64), listener.local_addr().expect("an address"));
+        let upstream =
+            upstream(DescriptorBudget::new(64, usize::MAX), listener.local_addr().expect("an address"));
         let late = Attempt { dedup_deadline: Some(Instant::now()), ..attempt() };
         let (ending, answer) = upstream.attempt(late).await;
         assert!(ending == balancer::AttemptOutcome::NotSent && answer.is_none(), "{ending:?}");
@@ -76,7 +78,7 @@
             let listener = listener.try_clone().expect("a listener");
             async move {
                 let deadline = Instant::now() + Duration::from_secs(5);
-                let upstream = upstream(DescriptorBudget::new(64), addr);
+                let upstream = upstream(DescriptorBudget::new(64, usize::MAX), addr);
                 let mut conn = dial(&upstream, deadline).await.expect("connects");
                 let (mut peer, _) = listener.accept().expect("accepts");
                 conn.sender.ready().await.expect("it is open");
@@ -101,7 +103,7 @@
 fn a_local_descriptor_shortage_is_no_failure_of_the_upstream() {
     run_local(async {
         let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
-        let sockets = DescriptorBudget::new(64);
+        let sockets = DescriptorBudget::new(64, usize::MAX);
         let all_permits: Vec<_> = std::iter::from_fn(|| sockets.try_upstream()).collect();
         let upstream = upstream(sockets, listener.local_addr().expect("an address"));
         let attempt = attempt();
--- a/crates/herondock/tests/memory.rs
+++ b/crates/herondock/tests/memory.rs
@@ -6,7 +6,7 @@
 use testkit::fastcgi::{begin_record, pairs, record};
 
 /// Memory limit in the configuration of the test kit: the least that the platform gives a balancer.
-const MEMORY_LIMIT: u64 = 192 << 20;
+const MEMORY_LIMIT: u64 = 192_000_000;
 /// Maximum size of a body.
 const MAX_BODY: usize = 64 << 10;
 
@@ -46,10 +46,37 @@
     assert_within_limit(&node);
 }
 
+#[test]
+fn heads_of_many_short_fields_stay_within_the_memory_limit() {
+    let upstream =
+        Upstream::start(|m| if m.header("req-id") == Some("after") { ok("x") } else { Step::Silent });
+    let node = with(&[upstream.addr]);
+    let fields = |count: usize| "a:b\r\n".repeat(count);
+    let mut crowd = Crowd::connect(node.addr, 700);
+    // Too many fields, as many as are allowed in a complete head, and in a head that never ends.
+    crowd.write_all(|n| {
+        let head = get(&format!("r{n}"), "3000m");
+        let (start, end) = head.split_at(head.len() - 2);
+        match n % 3 {
+            0 => format!("{start}{}", fields(3000)),
+            1 => format!("{start}{}{end}", fields(90)),
+            _ => format!("{start}{}", fields(90)),
+        }
+        .into_bytes()
+    });
+    assert!(crowd.wait_for_close(), "incomplete requests and idle connections end");
+    assert_within_limit(&node);
+}
+
 #[test]
 fn half_bodies_of_thousands_of_clients_stay_within_the_memory_limit() {
     let upstream = Upstream::start(|_| ok("x"));
-    let node = start(4096, &known(&upstream));
+    let discovery = Discovery::start();
+    let mut command = command(&config(discovery.addr, 4096, &known(&upstream)));
+    // Long enough for all clients to be half way at once, on a slow machine too.
+    let file = program().file(".toml", "[limits]\nrequest_wait = \"10s\"\n");
+    command.arg("run").args(["--operator".as_ref(), file.as_os_str()]);
+    let node = Node::run(command, discovery);
     let mut crowd = Crowd::connect(node.addr, 3000);
     crowd.write_all(|n| [sized_head(n), "x".repeat(MAX_BODY - 1)].concat().into_bytes());
     assert!(crowd.wait_for_close(), "incomplete requests end");
