Soak runs from a seed; a keyed retry no longer reaches a process the list does not know

Callers saw work go to a new process at the address of one that had gone, before the list told of it, and run twice.

Found by the new soak: 8 to 9 s of load and faults drawn from a seed, with signals in series, kills at the earliest time that the platform allows, upstreams that are replaced at their address, and crowds; the ledger and the limits of the settings judge.

Cause: an upstream's process died, its connections were reset, and the retry of a keyed request that may have run dialled the same address within a millisecond. A new process of another group listened there by then. The list tells of such a change seconds later.

Change: when the peer ends a connection, or refuses one, and no other connection to it is open, the identity of its process is uncertain for connections that are established from then on, until the list tells of a new process or 15 s have passed. Where duplicates are discarded within a group only, no duplicate is written to an uncertain process, and none anywhere after a first attempt on one. HTTP only; FastCGI upstreams do not have this yet.

--- a/crates/herondock/src/driver/mod.rs
+++ b/crates/herondock/src/driver/mod.rs
@@ -19,6 +19,7 @@
 use balancer::{
     Action, AttemptOutcome, Balancer, Event, LearnedState, Membership, Millis, RequestId, UpstreamId,
 };
+pub use open_request::Deduplication;
 use open_request::{InFlightAttempt, OpenRequest};
 use request_budget::grammar::RetryUsage;
 pub use request_ids::RequestIds;
@@ -77,9 +78,8 @@
     pub counters: Rc<RequestCounters>,
     /// Latency objective of each class.
     pub objectives: Vec<Duration>,
-    /// For each class, the time during which upstreams discard duplicates; `None`: duplicates do no harm, or do not
-    /// occur.
-    pub dedup_windows: Vec<Option<Duration>>,
+    /// For each class, how upstreams discard duplicates; `None`: duplicates do no harm, or do not occur.
+    pub deduplication: Vec<Option<Deduplication>>,
 }
 
 /// Handle of a driver. Clones refer to the same driver.
@@ -338,6 +338,7 @@
             gate: target.gate.clone(),
             deadline,
             dedup_deadline,
+            within_group: open.deduplication.is_some_and(|deduplication| deduplication.within_group),
             budget_grant: budget_grant.clone(),
         };
         let target = target.upstream.clone();
--- a/crates/herondock/src/driver/open_request.rs
+++ b/crates/herondock/src/driver/open_request.rs
@@ -11,6 +11,15 @@
 use tokio::time::Instant;
 use tracing::debug;
 
+/// How upstreams discard duplicates of the requests of a class.
+#[derive(Clone, Copy, Debug)]
+pub struct Deduplication {
+    /// Time from the first attempt that may have run during which they do.
+    pub window: Duration,
+    /// Whether only a part of the upstreams, such as a cell, discards the duplicates of one request.
+    pub within_group: bool,
+}
+
 /// An admitted request, kept until it has its final answer and none of its attempts is in flight.
 pub(super) struct OpenRequest {
     /// Channel to the client; `None` once the final answer is given or the client is gone.
@@ -29,8 +38,8 @@
     pub(super) is_abandoned: bool,
     /// Send time of the first attempt that may have run, or of an earlier one.
     pub(super) first_sent: Option<Instant>,
-    /// Time after `first_sent` during which upstreams discard duplicates; `None`: unlimited.
-    pub(super) dedup_window: Option<Duration>,
+    /// How upstreams discard duplicates; `None`: duplicates do no harm, or there are none.
+    pub(super) deduplication: Option<Deduplication>,
     /// Retries left, where request budgets are on.
     pub(super) retry_budget: Option<RetryBudget>,
     /// Request counters of the process.
@@ -106,7 +115,7 @@
             return None;
         }
         let first_sent = *self.first_sent.get_or_insert(now);
-        self.dedup_window.map(|window| first_sent + window)
+        self.deduplication.map(|deduplication| first_sent + deduplication.window)
     }
 }
 
--- a/crates/herondock/src/driver/state.rs
+++ b/crates/herondock/src/driver/state.rs
@@ -1,5 +1,5 @@
 //! State of the driver: the decision module, requests and attempts in flight, upstreams and timers.
-use super::open_request::{InFlightAttempt, OpenRequest};
+use super::open_request::{Deduplication, InFlightAttempt, OpenRequest};
 use super::{AdmissionError, DriverConfig, SharedRequestIds, TransportFactory, ANSWER_MARGIN_MS};
 use crate::descriptor_budget::DescriptorBudget;
 use crate::endpoint_sources::{EndpointUpdate, ListedEndpoint};
@@ -61,7 +61,7 @@
     request_ids: SharedRequestIds,
     counters: Rc<RequestCounters>,
     objectives: Vec<Duration>,
-    dedup_windows: Vec<Option<Duration>>,
+    deduplication: Vec<Option<Deduplication>>,
     /// Attempts in flight, by request and number.
     pub(super) attempts: HashMap<(RequestId, u32), InFlightAttempt>,
     /// Every upstream that the decision module may refer to: those listed, and those with attempts in flight.
@@ -100,7 +100,7 @@
             request_ids: config.request_ids,
             counters: config.counters,
             objectives: config.objectives,
-            dedup_windows: config.dedup_windows,
+            deduplication: config.deduplication,
             attempts: HashMap::new(),
             upstreams: HashMap::new(),
             timers: BTreeMap::new(),
@@ -163,7 +163,7 @@
             may_have_run: false,
             is_abandoned: false,
             first_sent: None,
-            dedup_window: self.dedup_windows.get(class).copied().flatten(),
+            deduplication: self.deduplication.get(class).copied().flatten(),
             retry_budget,
             counters: self.counters.clone(),
             late_at: Instant::now() + objective,
--- a/crates/herondock/src/exchange.rs
+++ b/crates/herondock/src/exchange.rs
@@ -96,6 +96,9 @@
     pub max_attempts: Option<u32>,
     /// The client; `None`: its front reports at once that it has left.
     pub client: Option<Rc<dyn ClientPresence>>,
+    /// Set once an attempt was written to a process that the endpoint list may not describe, so that the group which
+    /// discards its duplicates is unknown.
+    pub group_uncertain: Cell<bool>,
     /// Set once the request has its final answer or its client is gone: nothing more is written for it.
     pub finished: Cell<bool>,
 }
@@ -117,6 +120,7 @@
             budget: self.budget.clone(),
             max_attempts: self.max_attempts,
             client: self.client.clone(),
+            group_uncertain: Cell::new(false),
             finished: Cell::new(false),
         }
     }
@@ -221,6 +225,9 @@
     /// If an earlier attempt may have run, the time at which upstreams stop discarding duplicates; nothing is written
     /// from then on.
     pub dedup_deadline: Option<Instant>,
+    /// Whether only a group of upstreams discards duplicates of the request: a retry depends on the process that an
+    /// earlier attempt has reached.
+    pub within_group: bool,
     /// Share of the request's retry budget, where budgets are on.
     pub budget_grant: Option<Rc<BudgetGrant>>,
 }
@@ -273,6 +280,35 @@
     }
 }
 
+/// Whether a connection leads to the process that the endpoint list describes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessIdentity {
+    /// It does, as far as anyone has been notified.
+    Listed,
+    /// Connections to that process have ended before this one was established: another process may have taken its
+    /// address.
+    Uncertain,
+}
+
+impl Attempt {
+    /// Like [`Attempt::may_write`], for a connection to a process of this identity. Only the group of the process that
+    /// an attempt has reached discards duplicates, so none is written once that process is uncertain.
+    pub fn may_write_to(&self, process: ProcessIdentity, now: Instant) -> bool {
+        let is_duplicate = self.dedup_deadline.is_some();
+        let is_uncertain = process == ProcessIdentity::Uncertain;
+        let group_uncertain = &self.request.group_uncertain;
+        if self.within_group && is_duplicate && (is_uncertain || group_uncertain.get()) {
+            debug!("request {}: is not written: the group of its process is uncertain", self.request.label());
+            return false;
+        }
+        let allowed = self.may_write(now);
+        if allowed && is_uncertain {
+            group_uncertain.set(true);
+        }
+        allowed
+    }
+}
+
 /// An attempt that is being executed. Dropping it cancels the attempt.
 pub type AttemptFuture = Pin<Box<dyn Future<Output = AttemptResult>>>;
 
--- a/crates/herondock/src/front/fastcgi/admission.rs
+++ b/crates/herondock/src/front/fastcgi/admission.rs
@@ -140,6 +140,7 @@
             budget,
             max_attempts: None,
             client: None,
+            group_uncertain: Cell::new(false),
             finished: Cell::new(false),
         }
     }
--- a/crates/herondock/src/front/http/admission.rs
+++ b/crates/herondock/src/front/http/admission.rs
@@ -239,6 +239,7 @@
         budget,
         max_attempts: None,
         client: None,
+        group_uncertain: Cell::new(false),
         finished: Cell::new(false),
     }
 }
--- a/crates/herondock/src/run/wiring.rs
+++ b/crates/herondock/src/run/wiring.rs
@@ -1,6 +1,6 @@
 //! Builds the components of an instance: the pools with their drivers, the fronts, and the initial endpoint list.
 use crate::descriptor_budget::DescriptorBudget;
-use crate::driver::{DriverConfig, DriverHandle, SharedRequestIds};
+use crate::driver::{Deduplication, DriverConfig, DriverHandle, SharedRequestIds};
 use crate::endpoint_sources::cache;
 use crate::endpoint_sources::discovery::MAX_LOGGED_ENTRY_ERRORS;
 use crate::endpoint_sources::sources::{protocol, PLATFORM_LABEL};
@@ -13,7 +13,7 @@
 use crate::routing::{DriverFactory, Pools};
 use crate::transport;
 use crate::transport::connection_pool::ConnectionSettings;
-use balancer::{Balancer, Class, Effect, LearnedState, Settings, SettingsError};
+use balancer::{Balancer, Class, DedupScope, Effect, LearnedState, Settings, SettingsError};
 use config::operator::{Daemon, Limits, OperatorConfig};
 use config::request_budget::BudgetTable;
 use config::Deployment;
@@ -138,7 +138,7 @@
                 request_ids: request_ids.clone(),
                 counters: counters.clone(),
                 objectives: policy.classes.iter().map(objective).collect(),
-                dedup_windows: policy.classes.iter().map(dedup_window).collect(),
+                deduplication: policy.classes.iter().map(deduplication).collect(),
             })
         })
     }
@@ -192,11 +192,13 @@
     duration_from_ms(class.objective.clamp(0.0, MAX_DURATION_MS))
 }
 
-/// Time for which upstreams discard duplicates of a request of this class; `None` if duplicates do no harm, or if there are
-/// none.
-fn dedup_window(class: &Class) -> Option<Duration> {
+/// How upstreams discard duplicates of a request of this class; `None` if duplicates do no harm, or if there are none.
+fn deduplication(class: &Class) -> Option<Deduplication> {
     match class.effect {
-        Effect::Guarded { window, .. } => Some(duration_from_ms(window.clamp(0.0, MAX_DURATION_MS))),
+        Effect::Guarded { window, scope } => Some(Deduplication {
+            window: duration_from_ms(window.clamp(0.0, MAX_DURATION_MS)),
+            within_group: scope != DedupScope::All,
+        }),
         Effect::Free | Effect::SingleShot => None,
     }
 }
--- a/crates/herondock/src/transport/connection_pool.rs
+++ b/crates/herondock/src/transport/connection_pool.rs
@@ -1,6 +1,6 @@
 //! An upstream and its pool of idle connections, independent of the protocol.
 use crate::descriptor_budget::DescriptorBudget;
-use crate::exchange::{Attempt, AttemptFuture, AttemptResult, DrainGate, Upstream};
+use crate::exchange::{Attempt, AttemptFuture, AttemptResult, DrainGate, ProcessIdentity, Upstream};
 use crate::live_config::LiveConfig;
 use crate::memory_budget::MemoryBudget;
 use crate::stream::SharedStream;
@@ -16,6 +16,17 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{timeout_at, Instant};
 
+/// Time for which the identity of an upstream's process stays uncertain, unless the endpoint list tells of a new one
+/// before: the list is behind by less, and requests that were sent before have left their deduplication window.
+const UNCERTAINTY: Duration = Duration::from_secs(15);
+
+/// Times between which connections may lead to a process that the endpoint list does not describe.
+#[derive(Clone, Copy)]
+struct Uncertainty {
+    since: Instant,
+    until: Instant,
+}
+
 /// A connection that can be pooled.
 pub trait PooledConnection {
     /// Whether it can carry a request now: it is open, and holds no unread bytes.
@@ -67,6 +78,8 @@
     pub generation: u64,
     /// Permit for its file descriptor.
     pub permit: OwnedSemaphorePermit,
+    /// Time at which it was established.
+    pub established_at: Instant,
 }
 
 /// One upstream: its address and its idle connections.
@@ -78,6 +91,8 @@
     addr: Cell<SocketAddr>,
     /// Number of times that the upstream's process has been replaced.
     generation: Cell<u64>,
+    /// Set after connections to the process have ended.
+    uncertainty: Cell<Option<Uncertainty>>,
     /// Idle connections, each with the start of its idle time; the one used last is at the end.
     idle: RefCell<Vec<(P::Conn, Instant)>>,
 }
@@ -90,6 +105,7 @@
     fn process_replaced(&self, addr: SocketAddr) {
         self.addr.set(addr);
         self.generation.set(self.generation.get() + 1);
+        self.uncertainty.set(None);
         self.close_idle();
     }
 
@@ -99,7 +115,13 @@
 
     fn close_expired(&self, now: Instant) {
         let max_idle = self.settings.max_idle();
-        self.idle.borrow_mut().retain(|(conn, since)| !conn.is_closed() && now - *since < max_idle);
+        self.idle.borrow_mut().retain(|(_, since)| now - *since < max_idle);
+        let (closed, open): (Vec<_>, Vec<_>) =
+            self.idle.take().into_iter().partition(|(conn, _)| conn.is_closed());
+        self.idle.replace(open);
+        if !closed.is_empty() {
+            self.connection_ended(now);
+        }
     }
 
     fn oldest_idle_since(&self) -> Option<Instant> {
@@ -127,6 +149,7 @@
             protocol: upstream_protocol,
             addr,
             generation,
+            uncertainty: Cell::new(None),
             idle: RefCell::default(),
         })
     }
@@ -135,13 +158,35 @@
     /// open by use in rotation.
     pub fn take_idle(&self) -> Option<P::Conn> {
         let (now, max_idle) = (Instant::now(), self.settings.max_idle());
-        let mut idle = self.idle.borrow_mut();
-        while let Some((conn, since)) = idle.pop() {
-            if now - since < max_idle && conn.is_reusable() {
+        loop {
+            let (conn, since) = self.idle.borrow_mut().pop()?;
+            if now - since >= max_idle {
+                continue;
+            }
+            if conn.is_reusable() {
                 return Some(conn);
             }
+            drop(conn);
+            self.connection_ended(now);
+        }
+    }
+
+    /// Records that the peer has ended a connection, or can't be reached. If no other connection is open, its process may
+    /// have ended, and another one may take its address before the endpoint list tells of it.
+    pub fn connection_ended(&self, now: Instant) {
+        let is_alive = self.idle.borrow().iter().any(|(conn, _)| conn.is_reusable());
+        if !is_alive {
+            let since = self.uncertainty.get().filter(|u| now < u.until).map_or(now, |u| u.since);
+            self.uncertainty.set(Some(Uncertainty { since, until: now + UNCERTAINTY }));
+        }
+    }
+
+    /// Identity of the process to which a connection leads that was established at this time.
+    pub fn process_identity(&self, established_at: Instant, now: Instant) -> ProcessIdentity {
+        match self.uncertainty.get() {
+            Some(u) if now < u.until && established_at >= u.since => ProcessIdentity::Uncertain,
+            _ => ProcessIdentity::Listed,
         }
-        None
     }
 
     /// Returns a connection to the pool, unless its upstream drains or `generation` is not the present one.
@@ -171,16 +216,18 @@
         let deadline = deadline.min(Instant::now() + self.settings.dial_timeout);
         let generation = self.generation.get();
         let connected = timeout_at(deadline, TcpStream::connect(self.addr.get())).await;
-        let connected = connected.map_err(|_| AttemptOutcome::ConnectFailed)?;
-        let stream = connected.map_err(|e| {
-            if is_local_shortage(&e) {
-                AttemptOutcome::NotSent
-            } else {
-                AttemptOutcome::ConnectFailed
-            }
+        let unreachable = || {
+            self.connection_ended(Instant::now());
+            AttemptOutcome::ConnectFailed
+        };
+        let connected = connected.map_err(|_| unreachable())?;
+        let stream = connected.map_err(|e| match is_local_shortage(&e) {
+            true => AttemptOutcome::NotSent,
+            false => unreachable(),
         })?;
         stream.set_nodelay(true).map_err(|_| AttemptOutcome::ConnectFailed)?;
-        Ok(DialedConnection { socket: SharedStream::new(stream), generation, permit })
+        let established_at = Instant::now();
+        Ok(DialedConnection { socket: SharedStream::new(stream), generation, permit, established_at })
     }
 }
 
--- a/crates/herondock/src/transport/fastcgi/exclusive.rs
+++ b/crates/herondock/src/transport/fastcgi/exclusive.rs
@@ -24,7 +24,7 @@
         peer: &Peer<FastCgi>,
         deadline: Instant,
     ) -> Result<ExclusiveConnection, AttemptOutcome> {
-        let DialedConnection { socket, generation, permit } = peer.dial(deadline).await?;
+        let DialedConnection { socket, generation, permit, .. } = peer.dial(deadline).await?;
         Ok(ExclusiveConnection {
             connection: FastCgiConnection::new(socket, new_client(peer)),
             generation,
--- a/crates/herondock/src/transport/fastcgi/tests.rs
+++ b/crates/herondock/src/transport/fastcgi/tests.rs
@@ -13,6 +13,7 @@
         budget: None,
         max_attempts: None,
         client: None,
+        group_uncertain: Cell::new(false),
         finished: Cell::new(false),
     };
     let declared = Params(vec![("SCRIPT_FILENAME".into(), "/srv{path}".into())]);
--- a/crates/herondock/src/transport/http.rs
+++ b/crates/herondock/src/transport/http.rs
@@ -3,7 +3,7 @@
 use crate::exchange::{Answer, Attempt, AttemptResult};
 use crate::http::{end_to_end_fields, to_headers, to_method, DEADLINE, DECLINED};
 use crate::memory_budget::Purpose;
-use crate::message_body::read_body;
+use crate::message_body::{read_body, BodyError};
 use crate::stream::SharedStream;
 use balancer::AttemptOutcome;
 use bytes::Bytes;
@@ -27,6 +27,7 @@
     socket: SharedStream,
     /// Generation of the upstream process that it leads to.
     generation: u64,
+    established_at: Instant,
     task: AbortHandle,
     _permit: OwnedSemaphorePermit,
 }
@@ -53,7 +54,7 @@
 pub struct Http;
 
 async fn dial(peer: &Peer<Http>, deadline: Instant) -> Result<Conn, AttemptOutcome> {
-    let DialedConnection { socket, generation, permit } = peer.dial(deadline).await?;
+    let DialedConnection { socket, generation, permit, established_at } = peer.dial(deadline).await?;
     let io = TokioIo::new(socket.clone());
     let handshake = http1::Builder::new().max_buf_size(peer.settings.limits.get().head).handshake(io).await;
     let (sender, conn) = handshake.map_err(|_| AttemptOutcome::ConnectFailed)?;
@@ -61,7 +62,7 @@
         // Errors reach the attempt on the connection, which reports them.
         let _ = conn.await;
     });
-    Ok(Conn { sender, socket, generation, task: task.abort_handle(), _permit: permit })
+    Ok(Conn { sender, socket, generation, established_at, task: task.abort_handle(), _permit: permit })
 }
 
 impl UpstreamProtocol for Http {
@@ -79,7 +80,8 @@
                 },
             };
             let now = Instant::now();
-            if !attempt.may_write(now) {
+            let process = peer.process_identity(conn.established_at, now);
+            if !attempt.may_write_to(process, now) {
                 return (AttemptOutcome::NotSent, None);
             }
             let remaining_us = (attempt.deadline - now).as_micros();
@@ -95,11 +97,14 @@
                 Ok(answer) => break (conn, answer),
                 // hyper returns the request if nothing of it was written. That an idle connection has been closed in
                 // the meantime is no failure of the upstream, so the next connection is tried; each is tried once.
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) if reused => request = unsent,
-                    Some(_) => return (AttemptOutcome::ConnectFailed, None),
-                    None => return (AttemptOutcome::Reset, None),
-                },
+                Err(mut error) => {
+                    peer.connection_ended(Instant::now());
+                    match error.take_message() {
+                        Some(unsent) if reused => request = unsent,
+                        Some(_) => return (AttemptOutcome::ConnectFailed, None),
+                        None => return (AttemptOutcome::Reset, None),
+                    }
+                }
             }
         };
         attempt.record_usage(|name| answer.headers().get(name).map(HeaderValue::as_bytes));
@@ -109,8 +114,14 @@
         let ending = ending_of(&answer);
         let (head, body) = answer.into_parts();
         let reservation = peer.settings.memory.reservation(Purpose::Answer);
-        let Ok(body) = read_body(body, max_body, Some(reservation)).await else {
-            return (AttemptOutcome::Reset, None);
+        let body = match read_body(body, max_body, Some(reservation)).await {
+            Ok(body) => body,
+            Err(error) => {
+                if matches!(error, BodyError::Broken(_)) {
+                    peer.connection_ended(Instant::now());
+                }
+                return (AttemptOutcome::Reset, None);
+            }
         };
         // Returned before the outcome is reported, so that the next attempt can use this connection.
         if let Ok(Ok(())) = timeout(READY_TIMEOUT, conn.sender.ready()).await {
--- a/crates/herondock/src/transport/http/tests.rs
+++ b/crates/herondock/src/transport/http/tests.rs
@@ -31,6 +31,7 @@
         budget: None,
         max_attempts: None,
         client: None,
+        group_uncertain: Cell::new(false),
         finished: Cell::new(false),
     };
     let timeout_at = Instant::now() + Duration::from_secs(5);
@@ -40,6 +41,7 @@
         gate,
         deadline: timeout_at,
         dedup_deadline: None,
+        within_group: false,
         budget_grant: no_grant,
     }
 }
--- a/crates/herondock/tests/upstreams.rs
+++ b/crates/herondock/tests/upstreams.rs
@@ -79,3 +79,33 @@
     assert_eq!(upstream.next_request().header("req-id"), Some("next"));
     assert_eq!(upstream.count_new_requests(), 0);
 }
+
+#[test]
+fn keyed_request_that_may_have_run_is_not_sent_to_a_process_that_the_list_does_not_know() {
+    let held = Upstream::start(|_| Step::Silent);
+    let discovery = Discovery::start();
+    let config = config(discovery.addr, 1024, &known(&held)).replace("\"all\"", "\"cell\"");
+    let node = Node::run(command(&config), discovery);
+    let keyed = |id: &str| {
+        pay(id, "5000m").replace("Req-Kind: pay", &format!("Req-Kind: order\r\nIdempotency-Key: k-{id}"))
+    };
+    let mut client = node.client_with_request(&keyed("r1"));
+    assert_eq!(held.next_request().header("req-id"), Some("r1"));
+    let addr = held.addr;
+    let successor = || {
+        Upstream::at(addr, UpstreamOptions::named("s"), |m| match m.header("req-id") {
+            Some("r2") => status("500 Broken"),
+            _ => ok("x"),
+        })
+    };
+    held.kill();
+    let successor = successor().expect("the address is free");
+    assert_eq!(client.answer().expect("an answer").status(), 502);
+    // The successor belongs to a group that the list does not tell yet: its failed attempt is not repeated elsewhere.
+    assert_eq!(node.client().call(&keyed("r2")).status(), 502);
+    assert_eq!(node.client().call(&pay("r3", "5000m")).status(), 200);
+    for id in ["r2", "r3"] {
+        assert_eq!(successor.next_request().header("req-id"), Some(id));
+    }
+    assert_eq!(successor.count_new_requests(), 0);
+}
--- a/crates/verification/testkit/src/caller.rs
+++ b/crates/verification/testkit/src/caller.rs
@@ -122,8 +122,12 @@
     checks_readiness: bool,
     fastcgi: bool,
     unconnected: u64,
+    is_dead: Option<DeathCheck>,
 }
 
+/// Whether the balancer of this name is being killed or is dead.
+pub type DeathCheck = Arc<dyn Fn(&str) -> bool + Send + Sync>;
+
 /// Next number for a request id. Ids are unique across all callers of a process, and the process id in them
 /// makes them unique between processes.
 static NUMBER: AtomicU64 = AtomicU64::new(0);
@@ -155,6 +159,7 @@
             checks_readiness: false,
             fastcgi: false,
             unconnected: 0,
+            is_dead: None,
         }
     }
 
@@ -182,6 +187,13 @@
         self
     }
 
+    /// Does not send a request once more whose connection was ended by the death of its balancer: it may have run. The
+    /// caller then counts the request as unanswered, as after the death of a balancer that had read it.
+    pub fn with_death_check(mut self, is_dead: DeathCheck) -> Caller {
+        self.is_dead = Some(is_dead);
+        self
+    }
+
     /// Number of failed connection attempts, including those after which another balancer or a retry served
     /// the operation.
     pub fn connect_failures(&self) -> u64 {
@@ -299,7 +311,7 @@
             };
             was_sent = true;
             let (effect, sent) = (operation.effect, request.clone());
-            self.ledger.write(Entry::Sent { request: sent, balancer, effect, timeout });
+            self.ledger.write(Entry::Sent { request: sent, balancer: balancer.clone(), effect, timeout });
             // Waits 200 ms longer than stated in the request, because the ledger decides whether an answer is
             // late.
             let max_wait = deadline.saturating_duration_since(Instant::now()) + Duration::from_millis(200);
@@ -307,7 +319,11 @@
                 ResponseOutcome::Answer(answer) => answer,
                 // A balancer may close a connection between requests while this request is sent. The same
                 // request is then sent once more on another connection. A timeout is not treated this way.
-                ResponseOutcome::Closed if reused => continue,
+                ResponseOutcome::Closed
+                    if reused && !self.is_dead.as_ref().is_some_and(|is_dead| is_dead(&balancer)) =>
+                {
+                    continue
+                }
                 ResponseOutcome::Closed | ResponseOutcome::Broken => return AttemptOutcome::Unanswered,
             };
             self.ledger.write(Entry::Answered { request, status: answer.status() });
--- a/crates/verification/testkit/src/crowd.rs
+++ b/crates/verification/testkit/src/crowd.rs
@@ -22,13 +22,18 @@
     /// # Panics
     /// A connection can't be opened.
     pub fn connect(addr: SocketAddr, count: usize) -> Crowd {
+        Crowd::try_connect(addr, count).expect("connects")
+    }
+
+    /// Opens `count` connections; `None` if one of them can't be opened.
+    pub fn try_connect(addr: SocketAddr, count: usize) -> Option<Crowd> {
         let connect = |_| {
-            let stream = TcpStream::connect(addr).expect("connects");
-            stream.set_nodelay(true).expect("an open socket");
-            stream.set_nonblocking(true).expect("an open socket");
-            stream
+            let stream = TcpStream::connect_timeout(&addr, TEST_TIMEOUT).ok()?;
+            stream.set_nodelay(true).ok()?;
+            stream.set_nonblocking(true).ok()?;
+            Some(stream)
         };
-        Crowd { streams: (0..count).map(connect).collect() }
+        Some(Crowd { streams: (0..count).map(connect).collect::<Option<_>>()? })
     }
 
     /// Writes the message of each client, by its number, as fast as the other side reads. A client whose connection
@@ -55,8 +60,11 @@
     /// for a while.
     pub fn write_until_blocked(&mut self, message: impl Fn(usize) -> Vec<u8>) {
         for stream in &mut self.streams {
-            stream.set_nonblocking(false).expect("an open socket");
-            stream.set_write_timeout(Some(BLOCKED_AFTER)).expect("an open socket");
+            if stream.set_nonblocking(false).is_err()
+                || stream.set_write_timeout(Some(BLOCKED_AFTER)).is_err()
+            {
+                continue;
+            }
             // A timeout ends the loop in the middle of a message.
             let _ = (0..).try_for_each(|n| stream.write_all(&message(n)));
         }
@@ -92,19 +100,28 @@
 
 /// Writes pipelined requests on one connection without waiting for answers, block by block until `next_block` returns
 /// `None`, and returns the number of answers. Ends when each request has its answer or the connection is closed.
-///
-/// # Panics
-/// The connection can't be opened.
-pub fn pipeline(addr: SocketAddr, mut next_block: impl FnMut() -> Option<String> + Send) -> usize {
-    let stream = TcpStream::connect(addr).expect("connects");
-    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("an open socket");
-    let mut answers = BufReader::new(stream.try_clone().expect("a descriptor"));
+/// Returns 0 if the connection can't be opened.
+pub fn pipeline(addr: SocketAddr, next_block: impl FnMut() -> Option<String> + Send) -> usize {
+    let connect = || {
+        let stream = TcpStream::connect_timeout(&addr, TEST_TIMEOUT).ok()?;
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).ok()?;
+        let answers = BufReader::new(stream.try_clone().ok()?);
+        Some((stream, answers))
+    };
+    connect().map_or(0, |(stream, answers)| pipeline_on(&stream, answers, next_block))
+}
+
+fn pipeline_on(
+    stream: &TcpStream,
+    mut answers: BufReader<TcpStream>,
+    mut next_block: impl FnMut() -> Option<String> + Send,
+) -> usize {
     let (requests, complete) = (AtomicUsize::new(0), AtomicUsize::new(usize::MAX));
     thread::scope(|scope| {
         scope.spawn(|| {
             while let Some(block) = next_block() {
                 requests.fetch_add(block.matches(" HTTP/1.1\r\n").count(), Ordering::SeqCst);
-                if (&stream).write_all(block.as_bytes()).is_err() {
+                if (&*stream).write_all(block.as_bytes()).is_err() {
                     break;
                 }
             }
--- a/crates/verification/testkit/src/ledger.rs
+++ b/crates/verification/testkit/src/ledger.rs
@@ -102,6 +102,20 @@
     },
 }
 
+impl Entry {
+    /// Id of the request that it is about.
+    pub fn request(&self) -> Option<&str> {
+        match self {
+            Entry::Sent { request, .. }
+            | Entry::Answered { request, .. }
+            | Entry::CallerLeft { request }
+            | Entry::Begun { request, .. }
+            | Entry::Executed { request, .. } => Some(request),
+            Entry::Notified { .. } | Entry::Started { .. } | Entry::Killed { .. } => None,
+        }
+    }
+}
+
 /// A violation of a rule.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Violation {
--- a/crates/verification/testkit/src/lib.rs
+++ b/crates/verification/testkit/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`coordination`] | a council of real voters behind links, and its clients |
 //! | [`process`] | a process that a test started, and its log |
 //! | [`node`] | the program under test as a process |
+//! | [`soak`] | a run under load and faults drawn from a seed |
 //! | [`site`] | several machines with a council and links between them |
 //! | [`watcher`] | readiness of each balancer, polled from outside throughout a test |
 //! | [`ledger`] | requests, executions and answers, and the check of the four rules |
@@ -60,6 +61,7 @@
 pub mod process;
 pub mod script;
 pub mod site;
+pub mod soak;
 pub mod upstream;
 pub mod watcher;
 
--- a/crates/verification/testkit/src/node.rs
+++ b/crates/verification/testkit/src/node.rs
@@ -145,6 +145,11 @@
         std::fs::read_dir(path).expect("its descriptors").count()
     }
 
+    /// Whether the process is still running.
+    pub fn is_running(&mut self) -> bool {
+        self.process.is_running()
+    }
+
     /// Peak resident memory of the process so far, in bytes.
     pub fn peak_memory(&self) -> u64 {
         let path = format!("/proc/{}/status", self.process.pid());
--- /dev/null
+++ b/crates/verification/testkit/src/soak.rs
@@ -0,0 +1,461 @@
+//! A soak run: balancers under load and faults that are drawn from a seed, judged from outside.
+//!
+//! | what | drawn |
+//! | --- | --- |
+//! | balancers | 2 to 4, of which one at a time gets signals, in series: SIGKILL at once or after SIGTERM, starts, SIGHUP |
+//! | upstreams | 4 to 9 in groups of two; some hang, close, decline or fail; they drain, die, and are replaced at their address |
+//! | callers | 6 to 10, which keep using open connections until the kill |
+//! | crowd | none, or clients that write slowly, stop half way, fill the descriptors, flood, or leave behind unread requests |
+//!
+//! After SIGTERM the kill comes at the earliest time that the platform allows. The draws depend on the seed alone; the
+//! processes run in real time, so two runs of a seed differ in their order of events.
+use crate::caller::{Caller, Operation};
+use crate::crowd::{pipeline, Crowd};
+use crate::discovery::{Discovery, ListedUpstream, Registry};
+use crate::ledger::{Effect, Entry, Ledger, Record, RuleParameters, Violation};
+use crate::message::{ok_response, pay, Message};
+use crate::node::{config, Node, Program};
+use crate::process::reserve_address;
+use crate::upstream::{ok, status, Step, Upstream, UpstreamOptions};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime};
+
+/// Memory limit of a balancer, in bytes.
+const MEMORY_LIMIT: u64 = 192_000_000;
+/// Deadline of every class, which is also the longest that the platform allows for after SIGTERM.
+const DEADLINE: Duration = Duration::from_secs(3);
+/// Earliest kill after SIGTERM.
+const KILL_AFTER_TERM: Duration = Duration::from_millis(3700);
+/// Pause between the end of a process and its next start.
+const RESTART_PAUSE: Duration = Duration::from_secs(1);
+/// Duration of the faults and the load of one run.
+const RUN_TIME: Duration = Duration::from_secs(8);
+/// Interval between checks of the limits of a process.
+const LIMIT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Draws from a seed (SplitMix64).
+struct Draws(AtomicU64);
+
+impl Draws {
+    fn new(seed: u64) -> Draws {
+        Draws(AtomicU64::new(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
+    }
+
+    /// A number below `bound`.
+    fn below(&self, bound: u64) -> u64 {
+        let mut z = self.0.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (z ^ (z >> 31)) % bound
+    }
+
+    fn size(&self, bound: u64) -> usize {
+        usize::try_from(self.below(bound)).unwrap_or(0)
+    }
+}
+
+/// Clients that do not behave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CrowdKind {
+    None,
+    SlowBodies,
+    HalfBodies,
+    Idle,
+    Flood,
+    LeavesUnread,
+}
+
+const CROWDS: [CrowdKind; 6] = [
+    CrowdKind::None,
+    CrowdKind::SlowBodies,
+    CrowdKind::HalfBodies,
+    CrowdKind::Idle,
+    CrowdKind::Flood,
+    CrowdKind::LeavesUnread,
+];
+
+/// Result of a run.
+#[derive(Debug)]
+pub struct SoakReport {
+    /// Size, crowd and counts, in one line.
+    pub summary: String,
+    /// Broken rules, exceeded limits and unexpected ends, one each.
+    pub failures: Vec<String>,
+}
+
+/// A balancer with its fixed address.
+struct Balancer {
+    name: String,
+    addr: SocketAddr,
+    command_config: String,
+    node: Mutex<Option<Node>>,
+    /// Whether it is being killed or is dead; shared with the callers.
+    is_dead: Arc<AtomicBool>,
+}
+
+struct Soak {
+    program: Program,
+    draws: Draws,
+    ledger: Arc<Ledger>,
+    registry: Registry,
+    balancers: Vec<Balancer>,
+    upstreams: Mutex<Vec<(String, Upstream)>>,
+    descriptors: usize,
+    peak_memory: AtomicU64,
+    failures: Mutex<Vec<String>>,
+    stopped: AtomicBool,
+}
+
+/// Runs one seed.
+pub fn run(program: &Program, seed: u64) -> SoakReport {
+    let draws = Draws::new(seed);
+    let crowd = CROWDS[draws.size(CROWDS.len() as u64)];
+    let soak = Soak::start(program, draws, if crowd == CrowdKind::Idle { 256 } else { 1024 });
+    let callers = 6 + soak.draws.below(5);
+    let started = Instant::now();
+    let served = AtomicU64::new(0);
+    thread::scope(|scope| {
+        for number in 0..callers {
+            let (soak, served) = (&soak, &served);
+            scope.spawn(move || soak.call(seed ^ number, served));
+        }
+        scope.spawn(|| soak.watch_limits());
+        scope.spawn(|| soak.send_crowd(crowd));
+        scope.spawn(|| soak.change_upstreams());
+        while started.elapsed() < RUN_TIME {
+            soak.signal_series();
+        }
+        soak.stopped.store(true, Ordering::SeqCst);
+    });
+    soak.report(seed, crowd, callers, served.into_inner())
+}
+
+impl Soak {
+    fn start(program: &Program, draws: Draws, descriptors: usize) -> Soak {
+        let ledger = Arc::new(Ledger::with_capacity(4 << 20));
+        let registry = Registry::new(Some(ledger.clone()));
+        let size = 2 + draws.size(3);
+        let balancers = (0..size)
+            .map(|index| {
+                let (name, addr) = (format!("n{index}"), reserve_address());
+                let discovery = registry.open_endpoint(&name).expect("a port");
+                let command_config = config(discovery, descriptors, "null")
+                    .replace("\"name\":\"n1\"", &format!("\"name\":\"{name}\""))
+                    .replace("127.0.0.1:0", &addr.to_string())
+                    .replace("\"deadline\":20000", "\"deadline\":3000")
+                    .replace("\"repeat_window\":20000", "\"repeat_window\":4000")
+                    .replace("\"all\"", "\"cell\"")
+                    .replace(
+                        "\"balancers\":1,\"index\":0",
+                        &format!("\"balancers\":{size},\"index\":{index}"),
+                    );
+                Balancer { name, addr, command_config, node: Mutex::default(), is_dead: Arc::default() }
+            })
+            .collect();
+        let soak = Soak {
+            program: program.clone(),
+            draws,
+            ledger,
+            registry,
+            balancers,
+            upstreams: Mutex::default(),
+            descriptors,
+            peak_memory: AtomicU64::new(0),
+            failures: Mutex::default(),
+            stopped: AtomicBool::new(false),
+        };
+        for index in 0..4 + soak.draws.size(6) {
+            let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+            soak.start_upstream(format!("u{index}"), any_port, u32::try_from(index / 2).unwrap_or(0), 0);
+        }
+        soak.balancers.iter().for_each(|balancer| soak.start_balancer(balancer));
+        for balancer in &soak.balancers {
+            soak.wait_until_ready(balancer);
+        }
+        soak
+    }
+
+    fn fail(&self, failure: String) {
+        self.failures.lock().unwrap_or_else(PoisonError::into_inner).push(failure);
+    }
+
+    fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::SeqCst)
+    }
+
+    fn start_upstream(&self, name: String, addr: SocketAddr, group: u32, started_ms: u64) {
+        let options = UpstreamOptions {
+            ledger: Some(self.ledger.clone()),
+            group,
+            cores: 4,
+            ..UpstreamOptions::named(&name)
+        };
+        let faults = Draws::new(self.draws.below(u64::MAX));
+        let behaviour = move |_: &Message| match faults.below(100) {
+            0..=1 => Step::Silent,
+            2 => Step::Close,
+            3 => status("500 Broken"),
+            4..=5 => Step::declined(),
+            6..=9 => ok("at once"),
+            work => Step::Work(Duration::from_millis(work / 8), ok_response("x")),
+        };
+        // The address of a former process may be taken for a moment.
+        if let Ok(upstream) = Upstream::at(addr, options, behaviour) {
+            let listed = ListedUpstream { addr: upstream.addr, group, state: "active", started_ms };
+            self.registry.set(&name, listed);
+            self.upstreams.lock().unwrap_or_else(PoisonError::into_inner).push((name, upstream));
+        }
+    }
+
+    fn start_balancer(&self, balancer: &Balancer) {
+        let command = self.program.command(&balancer.command_config);
+        let node = Node::run(command, Discovery::start());
+        *balancer.node.lock().unwrap_or_else(PoisonError::into_inner) = Some(node);
+    }
+
+    fn wait_until_ready(&self, balancer: &Balancer) {
+        let started = Instant::now();
+        let check = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+        let is_ready = || {
+            let mut client = crate::caller::Client::connect(balancer.addr)?;
+            client.send(check);
+            Some(client.answer()?.status() == 200)
+        };
+        while is_ready() != Some(true) {
+            if started.elapsed() > Duration::from_secs(10) {
+                return self.fail(format!("{} is not ready 10 s after its start", balancer.name));
+            }
+            thread::sleep(LIMIT_CHECK_INTERVAL);
+        }
+    }
+
+    /// Calls until the run ends.
+    fn call(&self, seed: u64, served: &AtomicU64) {
+        let deaths: Vec<_> = self.balancers.iter().map(|b| (b.name.clone(), b.is_dead.clone())).collect();
+        let is_dead =
+            move |name: &str| deaths.iter().any(|(n, dead)| n == name && dead.load(Ordering::SeqCst));
+        let caller = Caller::new(self.ledger.clone(), seed + 1).with_readiness_check();
+        let mut caller = caller.with_death_check(Arc::new(is_dead));
+        let addrs: Vec<_> = self.balancers.iter().map(|b| (b.name.clone(), b.addr)).collect();
+        caller.set_balancers(&addrs);
+        let classes = [("read", Effect::Safe), ("order", Effect::Keyed), ("pay", Effect::Unsafe)];
+        for (class, effect) in classes.into_iter().cycle() {
+            if self.is_stopped() {
+                return;
+            }
+            let operation =
+                Operation { class: class.into(), effect, deadline: DEADLINE, ..Operation::default() };
+            let outcome = caller.call(&operation).outcome;
+            served.fetch_add(
+                u64::from(matches!(outcome, crate::caller::Outcome::Served { .. })),
+                Ordering::Relaxed,
+            );
+        }
+    }
+
+    /// Compares each running process with its limits until the run ends.
+    fn watch_limits(&self) {
+        while !self.is_stopped() {
+            for balancer in &self.balancers {
+                if let Some(node) = &mut *balancer.node.lock().unwrap_or_else(PoisonError::into_inner) {
+                    self.check_limits(&balancer.name, node);
+                }
+            }
+            thread::sleep(LIMIT_CHECK_INTERVAL);
+        }
+    }
+
+    fn check_limits(&self, name: &str, node: &mut Node) {
+        if !node.is_running() {
+            return self.fail(format!("{name} ended by itself: {:?}", node.log().last()));
+        }
+        let (memory, descriptors) = (node.peak_memory(), node.descriptors());
+        self.peak_memory.fetch_max(memory, Ordering::Relaxed);
+        if memory > MEMORY_LIMIT {
+            self.fail(format!("{name} holds {memory} bytes"));
+        }
+        if descriptors > self.descriptors {
+            self.fail(format!("{name} holds {descriptors} descriptors"));
+        }
+    }
+
+    /// Sends one balancer a series of signals, and leaves it running and ready.
+    fn signal_series(&self) {
+        let balancer = &self.balancers[self.draws.size(self.balancers.len() as u64)];
+        match self.draws.below(4) {
+            0 => {
+                for _ in 0..1 + self.draws.below(3) {
+                    self.reload(balancer);
+                    thread::sleep(Duration::from_millis(self.draws.below(100)));
+                }
+            }
+            1 => {
+                self.terminate(balancer);
+                self.restart(balancer);
+            }
+            _ => {
+                for _ in 0..1 + self.draws.below(3) {
+                    self.kill(balancer);
+                    self.restart(balancer);
+                    thread::sleep(Duration::from_millis(self.draws.below(400)));
+                }
+            }
+        }
+        self.wait_until_ready(balancer);
+        thread::sleep(Duration::from_millis(200 + self.draws.below(800)));
+    }
+
+    fn reload(&self, balancer: &Balancer) {
+        if let Some(node) = &*balancer.node.lock().unwrap_or_else(PoisonError::into_inner) {
+            node.reload(&balancer.command_config);
+        }
+    }
+
+    fn kill(&self, balancer: &Balancer) {
+        let node = balancer.node.lock().unwrap_or_else(PoisonError::into_inner).take();
+        balancer.is_dead.store(true, Ordering::SeqCst);
+        drop(node);
+        self.ledger.write(Entry::Killed { balancer: balancer.name.clone() });
+    }
+
+    /// Ends a balancer as planned. What the kill finds unanswered is lost.
+    fn terminate(&self, balancer: &Balancer) {
+        let Some(mut node) = balancer.node.lock().unwrap_or_else(PoisonError::into_inner).take() else {
+            return;
+        };
+        let started = Instant::now();
+        node.terminate();
+        while node.is_running() && started.elapsed() < KILL_AFTER_TERM {
+            thread::sleep(LIMIT_CHECK_INTERVAL);
+        }
+    }
+
+    fn restart(&self, balancer: &Balancer) {
+        thread::sleep(RESTART_PAUSE);
+        // Nobody has read what was sent to a dead process meanwhile.
+        if balancer.is_dead.swap(false, Ordering::SeqCst) {
+            self.ledger.write(Entry::Killed { balancer: balancer.name.clone() });
+        }
+        self.start_balancer(balancer);
+    }
+
+    /// Drains, kills and replaces upstreams until the run ends. Two of them stay as they are.
+    fn change_upstreams(&self) {
+        let mut replacements = 0;
+        while !self.is_stopped() {
+            thread::sleep(Duration::from_millis(500 + self.draws.below(1000)));
+            let (name, addr) = {
+                let upstreams = self.upstreams.lock().unwrap_or_else(PoisonError::into_inner);
+                if upstreams.len() < 4 {
+                    continue;
+                }
+                let (name, upstream) = &upstreams[2 + self.draws.size(upstreams.len() as u64 - 2)];
+                (name.clone(), upstream.addr)
+            };
+            match self.draws.below(3) {
+                0 => self.registry.state(&name, "leaving"),
+                1 => self.registry.state(&name, "active"),
+                _ => {
+                    replacements += 1;
+                    self.replace_upstream(&name, addr, replacements);
+                }
+            }
+        }
+    }
+
+    /// Kills an upstream and starts another one at its address; the list may go on to contain the former one.
+    fn replace_upstream(&self, name: &str, addr: SocketAddr, number: u32) {
+        {
+            let mut upstreams = self.upstreams.lock().unwrap_or_else(PoisonError::into_inner);
+            upstreams.retain(|(other, _)| other != name);
+        }
+        if self.draws.below(2) == 0 {
+            self.registry.state(name, "left");
+        }
+        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let started_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(0);
+        self.start_upstream(format!("r{number}"), addr, 100 + number, started_ms);
+    }
+
+    /// Lets a crowd loose on the first balancer until the run ends.
+    fn send_crowd(&self, kind: CrowdKind) {
+        let addr = self.balancers[0].addr;
+        let post = |n: usize| {
+            let framing = "Content-Length: 65536\r\n\r\n";
+            pay(&format!("crowd-{n}"), "3000m").replace("Content-Length: 4\r\n\r\nbody", framing)
+        };
+        while !self.is_stopped() {
+            // The balancer may be down.
+            let Some(mut crowd) = Crowd::try_connect(addr, 300) else {
+                thread::sleep(LIMIT_CHECK_INTERVAL);
+                continue;
+            };
+            match kind {
+                CrowdKind::None => return,
+                CrowdKind::SlowBodies => {
+                    crowd.write_all(|n| post(n).into_bytes());
+                    crowd.write_slowly(b"x", 100, Duration::from_millis(10));
+                }
+                CrowdKind::HalfBodies => {
+                    crowd.write_all(|n| [post(n), "x".repeat(60_000)].concat().into_bytes());
+                    crowd.write_slowly(b"x", 1, Duration::from_secs(1));
+                }
+                CrowdKind::Idle => crowd.write_slowly(b"", 1, Duration::from_secs(2)),
+                CrowdKind::Flood => {
+                    drop(crowd);
+                    self.flood(addr);
+                }
+                CrowdKind::LeavesUnread => {
+                    drop(crowd);
+                    if let Some(mut one) = Crowd::try_connect(addr, 1) {
+                        one.write_until_blocked(|n| pay(&format!("left-{n}"), "3000m").into_bytes());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Pipelines requests that are not admitted, for a second.
+    fn flood(&self, addr: SocketAddr) {
+        let started = Instant::now();
+        let block = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n".repeat(50);
+        let next_block = || (started.elapsed() < Duration::from_secs(1)).then(|| block.clone());
+        let _ = pipeline(addr, next_block);
+    }
+
+    /// A violation with all that the ledger knows of its request, and the kills of balancers.
+    fn trace(&self, violation: &Violation) -> String {
+        let is_relevant = |record: &Record| match &record.entry {
+            Entry::Killed { .. } => true,
+            entry => violation.subject.ends_with(entry.request().unwrap_or("no request")),
+        };
+        let records = self.ledger.since(0).into_iter().filter(is_relevant);
+        let lines =
+            records.map(|record| format!("\n    {:.3} s {:?}", record.time.as_secs_f64(), record.entry));
+        lines.fold(violation.to_string(), |text, line| text + &line)
+    }
+
+    fn report(&self, seed: u64, crowd: CrowdKind, callers: u64, served: u64) -> SoakReport {
+        let rules = RuleParameters::default();
+        let mut failures = std::mem::take(&mut *self.failures.lock().unwrap_or_else(PoisonError::into_inner));
+        failures.dedup();
+        failures.extend(self.ledger.check(&rules).iter().map(|violation| self.trace(violation)));
+        let summary = format!(
+            "seed {seed}: {} balancers, {callers} callers, crowd {crowd:?}: {served} served, peak memory {} MB, {} failures",
+            self.balancers.len(),
+            self.peak_memory.load(Ordering::Relaxed) / 1_000_000,
+            failures.len()
+        );
+        SoakReport { summary, failures }
+    }
+}
+
+/// Seeds that an environment variable gives as `FROM..TO`, or else the default ones.
+pub fn seeds(variable: &str, default: std::ops::Range<u64>) -> std::ops::Range<u64> {
+    let text = std::env::var(variable).unwrap_or_default();
+    let bounds = text.split_once("..").and_then(|(from, to)| Some((from.parse().ok()?, to.parse().ok()?)));
+    bounds.map_or(default, |(from, to)| from..to)
+}
