Read ahead into one chunk a look; the soak can keep its balancers' logs

One look at the stream now makes one chunk.

HERONDOCK_SOAK_LOGS has the soak's balancers log at debug level and adds their lines to the trace of a failure. The lock of its state is one function.

--- a/crates/herondock/src/front/read_ahead.rs
+++ b/crates/herondock/src/front/read_ahead.rs
@@ -13,7 +13,7 @@
 /// Maximum number of bytes that are read ahead on a connection.
 const MAX_READ_AHEAD: usize = 32 << 10;
 /// Size of one read, in bytes.
-const READ_BYTES: usize = 8 << 10;
+const READ_BYTES: usize = 4 << 10;
 
 /// Whether a client is still connected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,7 +26,7 @@
     Unknown,
 }
 
-/// Bytes that were read together.
+/// Bytes that were read together, by one look at the stream: a client that writes byte by byte makes no more of them.
 struct Chunk {
     read_at: Instant,
     bytes: Vec<u8>,
@@ -55,11 +55,11 @@
 
     /// Reads ahead within the limit, and returns what that shows of the client.
     pub fn presence(&self) -> Presence {
-        let mut buffer = [0; READ_BYTES];
+        let (mut buffer, now) = ([0; READ_BYTES], Instant::now());
         while self.length.get() < MAX_READ_AHEAD {
             match self.stream.read_now(&mut buffer) {
                 Ok(0) => return Presence::Left,
-                Ok(count) => self.append(&buffer[..count]),
+                Ok(count) => self.append(&buffer[..count], now),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Presence::Connected,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return Presence::Left,
@@ -68,9 +68,12 @@
         Presence::Unknown
     }
 
-    fn append(&self, bytes: &[u8]) {
-        let chunk = Chunk { read_at: Instant::now(), bytes: bytes.into(), taken: 0 };
-        self.chunks.borrow_mut().push_back(chunk);
+    fn append(&self, bytes: &[u8], read_at: Instant) {
+        let mut chunks = self.chunks.borrow_mut();
+        match chunks.back_mut().filter(|chunk| chunk.read_at == read_at) {
+            Some(chunk) => chunk.bytes.extend_from_slice(bytes),
+            None => chunks.push_back(Chunk { read_at, bytes: bytes.into(), taken: 0 }),
+        }
         self.length.set(self.length.get() + bytes.len());
     }
 
--- a/crates/verification/testkit/src/soak.rs
+++ b/crates/verification/testkit/src/soak.rs
@@ -19,7 +19,7 @@
 use crate::upstream::{ok, status, Step, Upstream, UpstreamOptions};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -33,6 +33,8 @@
 const RESTART_PAUSE: Duration = Duration::from_secs(1);
 /// Duration of the faults and the load of one run.
 const RUN_TIME: Duration = Duration::from_secs(8);
+/// Environment variable that makes balancers log at debug level and adds these lines to the traces of failures.
+const KEEP_LOGS: &str = "HERONDOCK_SOAK_LOGS";
 /// Interval between checks of the limits of a process.
 const LIMIT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -107,6 +109,14 @@
     peak_memory: AtomicU64,
     failures: Mutex<Vec<String>>,
     stopped: AtomicBool,
+    /// Whether the balancers log at debug level, and failures are reported with their lines.
+    keeps_logs: bool,
+    /// Log lines of ended processes, each with the name of its balancer.
+    logs: Mutex<Vec<(String, String)>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Runs one seed.
@@ -166,6 +176,8 @@
             peak_memory: AtomicU64::new(0),
             failures: Mutex::default(),
             stopped: AtomicBool::new(false),
+            keeps_logs: std::env::var_os(KEEP_LOGS).is_some(),
+            logs: Mutex::default(),
         };
         for index in 0..4 + soak.draws.size(6) {
             let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -179,7 +191,7 @@
     }
 
     fn fail(&self, failure: String) {
-        self.failures.lock().unwrap_or_else(PoisonError::into_inner).push(failure);
+        lock(&self.failures).push(failure);
     }
 
     fn is_stopped(&self) -> bool {
@@ -206,14 +218,17 @@
         if let Ok(upstream) = Upstream::at(addr, options, behaviour) {
             let listed = ListedUpstream { addr: upstream.addr, group, state: "active", started_ms };
             self.registry.set(&name, listed);
-            self.upstreams.lock().unwrap_or_else(PoisonError::into_inner).push((name, upstream));
+            lock(&self.upstreams).push((name, upstream));
         }
     }
 
     fn start_balancer(&self, balancer: &Balancer) {
-        let command = self.program.command(&balancer.command_config);
+        let mut command = self.program.command(&balancer.command_config);
+        if self.keeps_logs {
+            command.args(["--log", "debug"]);
+        }
         let node = Node::run(command, Discovery::start());
-        *balancer.node.lock().unwrap_or_else(PoisonError::into_inner) = Some(node);
+        *lock(&balancer.node) = Some(node);
     }
 
     fn wait_until_ready(&self, balancer: &Balancer) {
@@ -260,7 +275,7 @@
     fn watch_limits(&self) {
         while !self.is_stopped() {
             for balancer in &self.balancers {
-                if let Some(node) = &mut *balancer.node.lock().unwrap_or_else(PoisonError::into_inner) {
+                if let Some(node) = &mut *lock(&balancer.node) {
                     self.check_limits(&balancer.name, node);
                 }
             }
@@ -309,13 +324,14 @@
     }
 
     fn reload(&self, balancer: &Balancer) {
-        if let Some(node) = &*balancer.node.lock().unwrap_or_else(PoisonError::into_inner) {
+        if let Some(node) = &*lock(&balancer.node) {
             node.reload(&balancer.command_config);
         }
     }
 
     fn kill(&self, balancer: &Balancer) {
-        let node = balancer.node.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let node = lock(&balancer.node).take();
+        self.keep_log(&balancer.name, node.as_ref());
         balancer.is_dead.store(true, Ordering::SeqCst);
         drop(node);
         self.ledger.write(Entry::Killed { balancer: balancer.name.clone() });
@@ -323,7 +339,7 @@
 
     /// Ends a balancer as planned. What the kill finds unanswered is lost.
     fn terminate(&self, balancer: &Balancer) {
-        let Some(mut node) = balancer.node.lock().unwrap_or_else(PoisonError::into_inner).take() else {
+        let Some(mut node) = lock(&balancer.node).take() else {
             return;
         };
         let started = Instant::now();
@@ -331,6 +347,14 @@
         while node.is_running() && started.elapsed() < KILL_AFTER_TERM {
             thread::sleep(LIMIT_CHECK_INTERVAL);
         }
+        self.keep_log(&balancer.name, Some(&node));
+    }
+
+    fn keep_log(&self, name: &str, node: Option<&Node>) {
+        if let Some(node) = node.filter(|_| self.keeps_logs) {
+            let lines = node.log().into_iter().map(|line| (name.to_string(), line));
+            lock(&self.logs).extend(lines);
+        }
     }
 
     fn restart(&self, balancer: &Balancer) {
@@ -348,7 +372,7 @@
         while !self.is_stopped() {
             thread::sleep(Duration::from_millis(500 + self.draws.below(1000)));
             let (name, addr) = {
-                let upstreams = self.upstreams.lock().unwrap_or_else(PoisonError::into_inner);
+                let upstreams = lock(&self.upstreams);
                 if upstreams.len() < 4 {
                     continue;
                 }
@@ -369,7 +393,7 @@
     /// Kills an upstream and starts another one at its address; the list may go on to contain the former one.
     fn replace_upstream(&self, name: &str, addr: SocketAddr, number: u32) {
         {
-            let mut upstreams = self.upstreams.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut upstreams = lock(&self.upstreams);
             upstreams.retain(|(other, _)| other != name);
         }
         if self.draws.below(2) == 0 {
@@ -435,12 +459,19 @@
         let records = self.ledger.since(0).into_iter().filter(is_relevant);
         let lines =
             records.map(|record| format!("\n    {:.3} s {:?}", record.time.as_secs_f64(), record.entry));
-        lines.fold(violation.to_string(), |text, line| text + &line)
+        let trace = lines.fold(violation.to_string(), |text, line| text + &line);
+        let logs = lock(&self.logs);
+        let is_logged = |line: &str| line.contains(&violation.subject) || line.contains("signal");
+        let lines = logs.iter().filter(|(_, line)| is_logged(line));
+        lines.map(|(name, line)| format!("\n    {name}: {line}")).fold(trace, |text, line| text + &line)
     }
 
     fn report(&self, seed: u64, crowd: CrowdKind, callers: u64, served: u64) -> SoakReport {
         let rules = RuleParameters::default();
-        let mut failures = std::mem::take(&mut *self.failures.lock().unwrap_or_else(PoisonError::into_inner));
+        for balancer in &self.balancers {
+            self.keep_log(&balancer.name, lock(&balancer.node).as_ref());
+        }
+        let mut failures = std::mem::take(&mut *lock(&self.failures));
         failures.dedup();
         failures.extend(self.ledger.check(&rules).iter().map(|violation| self.trace(violation)));
         let summary = format!(
