FastCGI upstreams: a keyed retry no longer reaches a process the list does not know

Change: exclusive and multiplexed connections know when they were established, ask for the identity of their process before a request is begun on them, and report their end to their peer.

--- a/crates/herondock/src/transport/fastcgi/exclusive.rs
+++ b/crates/herondock/src/transport/fastcgi/exclusive.rs
@@ -16,6 +16,7 @@
     pub connection: FastCgiConnection,
     pub(super) generation: u64,
     pub(super) permit: OwnedSemaphorePermit,
+    pub(super) established_at: Instant,
 }
 
 impl ExclusiveConnection {
@@ -24,11 +25,12 @@
         peer: &Peer<FastCgi>,
         deadline: Instant,
     ) -> Result<ExclusiveConnection, AttemptOutcome> {
-        let DialedConnection { socket, generation, permit, .. } = peer.dial(deadline).await?;
+        let DialedConnection { socket, generation, permit, established_at } = peer.dial(deadline).await?;
         Ok(ExclusiveConnection {
             connection: FastCgiConnection::new(socket, new_client(peer)),
             generation,
             permit,
+            established_at,
         })
     }
 }
@@ -45,7 +47,9 @@
             Some(Conn::Multiplexed(_)) => continue,
             None => (Box::new(ExclusiveConnection::dial(peer, attempt.deadline).await?), false),
         };
-        if !attempt.may_write(Instant::now()) {
+        let now = Instant::now();
+        let process = peer.process_identity(exclusive.established_at, now);
+        if !attempt.may_write_to(process, now) {
             return Err(AttemptOutcome::NotSent);
         }
         let conn = &mut exclusive.connection;
@@ -53,7 +57,11 @@
         let Some(id) = begin_request(peer, &mut conn.client, &attempt) else {
             return Err(AttemptOutcome::NotSent);
         };
-        match wait_for_end(conn, id).await {
+        let end = wait_for_end(conn, id).await;
+        if end.is_err() {
+            peer.connection_ended(Instant::now());
+        }
+        match end {
             Ok(outcome) => {
                 if conn.client.open() == 0 && !conn.client.is_mid_record() {
                     let generation = exclusive.generation;
--- a/crates/herondock/src/transport/fastcgi/multiplexed.rs
+++ b/crates/herondock/src/transport/fastcgi/multiplexed.rs
@@ -44,6 +44,7 @@
     used: Cell<bool>,
     gate: RefCell<Rc<DrainGate>>,
     generation: u64,
+    established_at: Instant,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -128,8 +129,9 @@
         let reused = link.used.replace(true);
         let begun = {
             let mut connection = link.connection.borrow_mut();
+            let now = Instant::now();
             attempt
-                .may_write(Instant::now())
+                .may_write_to(peer.process_identity(link.established_at, now), now)
                 .then(|| begin_request(peer, &mut connection.client, &attempt))
                 .flatten()
         };
@@ -190,6 +192,7 @@
         used: Cell::new(false),
         gate: RefCell::new(attempt.gate.clone()),
         generation: exclusive.generation,
+        established_at: exclusive.established_at,
         _permit: exclusive.permit,
     });
     let abort_timeout = peer.settings.limits.get().flush_wait;
@@ -232,8 +235,11 @@
             // Sending fails if the attempt has been cancelled in the meantime.
             let _ = waiter.result.send(AttemptEnd::ConnectionLost(fully_written));
         }
-        // The connection is dropped once its attempts have been notified.
-        drop(peer.upgrade().and_then(|peer| peer.protocol.links.remove(&self)));
+        if let Some(peer) = peer.upgrade() {
+            peer.connection_ended(Instant::now());
+            // The connection is dropped once its attempts have been notified.
+            drop(peer.protocol.links.remove(&self));
+        }
     }
 
     fn may_write(&self, id: u16) -> bool {
--- a/crates/herondock/tests/upstreams.rs
+++ b/crates/herondock/tests/upstreams.rs
@@ -82,10 +82,18 @@
 
 #[test]
 fn keyed_request_that_may_have_run_is_not_sent_to_a_process_that_the_list_does_not_know() {
-    let held = Upstream::start(|_| Step::Silent);
+    for pairing in PAIRINGS.into_iter().filter(|pairing| !pairing.front || pairing.max_concurrent > 1) {
+        keyed_request_is_not_sent_to_an_unknown_process(pairing);
+    }
+}
+
+fn keyed_request_is_not_sent_to_an_unknown_process(pairing: Pairing) {
+    let held = Upstream::with(pairing.options("s"), |_| Step::Silent);
     let discovery = Discovery::start();
     let config = config(discovery.addr, 1024, &known(&held)).replace("\"all\"", "\"cell\"");
-    let node = Node::run(command(&config), discovery);
+    let mut command = command(&config);
+    command.arg("run").arg("--operator").arg(pairing.operator());
+    let node = Node::run(command, discovery);
     let keyed = |id: &str| {
         pay(id, "5000m").replace("Req-Kind: pay", &format!("Req-Kind: order\r\nIdempotency-Key: k-{id}"))
     };
@@ -93,7 +101,7 @@
     assert_eq!(held.next_request().header("req-id"), Some("r1"));
     let addr = held.addr;
     let successor = || {
-        Upstream::at(addr, UpstreamOptions::named("s"), |m| match m.header("req-id") {
+        Upstream::at(addr, pairing.options("s"), |m| match m.header("req-id") {
             Some("r2") => status("500 Broken"),
             _ => ok("x"),
         })
