--- a/crates/verification/testkit/src/soak.rs
+++ b/crates/verification/testkit/src/soak/mod.rs
@@ -7,30 +7,34 @@
 //! | callers | 6 to 10, which keep using open connections until the kill |
 //! | crowd | none, or clients that write slowly, stop half way, fill the descriptors, flood, or leave behind unread requests |
 //!
+//! | file | contents |
+//! | --- | --- |
+//! | `crowds.rs` | clients that do not behave |
+//! | `faults.rs` | signals, and changes of upstreams |
+//! | `judge.rs` | what counts as a failure |
+//!
 //! After SIGTERM the kill comes at the earliest time that the platform allows. The draws depend on the seed alone; the
 //! processes run in real time, so two runs of a seed differ in their order of events.
+mod crowds;
+mod faults;
+mod judge;
+
 use crate::caller::{Caller, Operation};
-use crate::crowd::{pipeline, Crowd};
 use crate::discovery::{Discovery, ListedUpstream, Registry};
-use crate::ledger::{Effect, Entry, Ledger, Record, RuleParameters, Violation};
-use crate::message::{ok_response, pay, Message};
+use crate::ledger::{Effect, Ledger};
+use crate::message::{ok_response, Message};
 use crate::node::{config, Node, Program};
 use crate::process::reserve_address;
 use crate::upstream::{ok, status, Step, Upstream, UpstreamOptions};
+use crowds::{CrowdKind, CROWDS};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
-/// Memory limit of a balancer, in bytes.
-const MEMORY_LIMIT: u64 = 192_000_000;
 /// Deadline of every class, which is also the longest that the platform allows for after SIGTERM.
 const DEADLINE: Duration = Duration::from_secs(3);
-/// Earliest kill after SIGTERM.
-const KILL_AFTER_TERM: Duration = Duration::from_millis(3700);
-/// Pause between the end of a process and its next start.
-const RESTART_PAUSE: Duration = Duration::from_secs(1);
 /// Duration of the faults and the load of one run.
 const RUN_TIME: Duration = Duration::from_secs(8);
 /// Environment variable that makes balancers log at debug level and adds these lines to the traces of failures.
@@ -59,26 +63,6 @@
     }
 }
 
-/// Clients that do not behave.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CrowdKind {
-    None,
-    SlowBodies,
-    HalfBodies,
-    Idle,
-    Flood,
-    LeavesUnread,
-}
-
-const CROWDS: [CrowdKind; 6] = [
-    CrowdKind::None,
-    CrowdKind::SlowBodies,
-    CrowdKind::HalfBodies,
-    CrowdKind::Idle,
-    CrowdKind::Flood,
-    CrowdKind::LeavesUnread,
-];
-
 /// Result of a run.
 #[derive(Debug)]
 pub struct SoakReport {
@@ -270,218 +254,6 @@
             );
         }
     }
-
-    /// Compares each running process with its limits until the run ends.
-    fn watch_limits(&self) {
-        while !self.is_stopped() {
-            for balancer in &self.balancers {
-                if let Some(node) = &mut *lock(&balancer.node) {
-                    self.check_limits(&balancer.name, node);
-                }
-            }
-            thread::sleep(LIMIT_CHECK_INTERVAL);
-        }
-    }
-
-    fn check_limits(&self, name: &str, node: &mut Node) {
-        if !node.is_running() {
-            return self.fail(format!("{name} ended by itself: {:?}", node.log().last()));
-        }
-        let (memory, descriptors) = (node.peak_memory(), node.descriptors());
-        self.peak_memory.fetch_max(memory, Ordering::Relaxed);
-        if memory > MEMORY_LIMIT {
-            self.fail(format!("{name} holds {memory} bytes"));
-        }
-        if descriptors > self.descriptors {
-            self.fail(format!("{name} holds {descriptors} descriptors"));
-        }
-    }
-
-    /// Sends one balancer a series of signals, and leaves it running and ready.
-    fn signal_series(&self) {
-        let balancer = &self.balancers[self.draws.size(self.balancers.len() as u64)];
-        match self.draws.below(4) {
-            0 => {
-                for _ in 0..1 + self.draws.below(3) {
-                    self.reload(balancer);
-                    thread::sleep(Duration::from_millis(self.draws.below(100)));
-                }
-            }
-            1 => {
-                self.terminate(balancer);
-                self.restart(balancer);
-            }
-            _ => {
-                for _ in 0..1 + self.draws.below(3) {
-                    self.kill(balancer);
-                    self.restart(balancer);
-                    thread::sleep(Duration::from_millis(self.draws.below(400)));
-                }
-            }
-        }
-        self.wait_until_ready(balancer);
-        thread::sleep(Duration::from_millis(200 + self.draws.below(800)));
-    }
-
-    fn reload(&self, balancer: &Balancer) {
-        if let Some(node) = &*lock(&balancer.node) {
-            node.reload(&balancer.command_config);
-        }
-    }
-
-    fn kill(&self, balancer: &Balancer) {
-        let node = lock(&balancer.node).take();
-        self.keep_log(&balancer.name, node.as_ref());
-        balancer.is_dead.store(true, Ordering::SeqCst);
-        drop(node);
-        self.ledger.write(Entry::Killed { balancer: balancer.name.clone() });
-    }
-
-    /// Ends a balancer as planned. What the kill finds unanswered is lost.
-    fn terminate(&self, balancer: &Balancer) {
-        let Some(mut node) = lock(&balancer.node).take() else {
-            return;
-        };
-        let started = Instant::now();
-        node.terminate();
-        while node.is_running() && started.elapsed() < KILL_AFTER_TERM {
-            thread::sleep(LIMIT_CHECK_INTERVAL);
-        }
-        self.keep_log(&balancer.name, Some(&node));
-    }
-
-    fn keep_log(&self, name: &str, node: Option<&Node>) {
-        if let Some(node) = node.filter(|_| self.keeps_logs) {
-            let lines = node.log().into_iter().map(|line| (name.to_string(), line));
-            lock(&self.logs).extend(lines);
-        }
-    }
-
-    fn restart(&self, balancer: &Balancer) {
-        thread::sleep(RESTART_PAUSE);
-        // Nobody has read what was sent to a dead process meanwhile.
-        if balancer.is_dead.swap(false, Ordering::SeqCst) {
-            self.ledger.write(Entry::Killed { balancer: balancer.name.clone() });
-        }
-        self.start_balancer(balancer);
-    }
-
-    /// Drains, kills and replaces upstreams until the run ends. Two of them stay as they are.
-    fn change_upstreams(&self) {
-        let mut replacements = 0;
-        while !self.is_stopped() {
-            thread::sleep(Duration::from_millis(500 + self.draws.below(1000)));
-            let (name, addr) = {
-                let upstreams = lock(&self.upstreams);
-                if upstreams.len() < 4 {
-                    continue;
-                }
-                let (name, upstream) = &upstreams[2 + self.draws.size(upstreams.len() as u64 - 2)];
-                (name.clone(), upstream.addr)
-            };
-            match self.draws.below(3) {
-                0 => self.registry.state(&name, "leaving"),
-                1 => self.registry.state(&name, "active"),
-                _ => {
-                    replacements += 1;
-                    self.replace_upstream(&name, addr, replacements);
-                }
-            }
-        }
-    }
-
-    /// Kills an upstream and starts another one at its address; the list may go on to contain the former one.
-    fn replace_upstream(&self, name: &str, addr: SocketAddr, number: u32) {
-        {
-            let mut upstreams = lock(&self.upstreams);
-            upstreams.retain(|(other, _)| other != name);
-        }
-        if self.draws.below(2) == 0 {
-            self.registry.state(name, "left");
-        }
-        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        let started_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(0);
-        self.start_upstream(format!("r{number}"), addr, 100 + number, started_ms);
-    }
-
-    /// Lets a crowd loose on the first balancer until the run ends.
-    fn send_crowd(&self, kind: CrowdKind) {
-        let addr = self.balancers[0].addr;
-        let post = |n: usize| {
-            let framing = "Content-Length: 65536\r\n\r\n";
-            pay(&format!("crowd-{n}"), "3000m").replace("Content-Length: 4\r\n\r\nbody", framing)
-        };
-        while !self.is_stopped() {
-            // The balancer may be down.
-            let Some(mut crowd) = Crowd::try_connect(addr, 300) else {
-                thread::sleep(LIMIT_CHECK_INTERVAL);
-                continue;
-            };
-            match kind {
-                CrowdKind::None => return,
-                CrowdKind::SlowBodies => {
-                    crowd.write_all(|n| post(n).into_bytes());
-                    crowd.write_slowly(b"x", 100, Duration::from_millis(10));
-                }
-                CrowdKind::HalfBodies => {
-                    crowd.write_all(|n| [post(n), "x".repeat(60_000)].concat().into_bytes());
-                    crowd.write_slowly(b"x", 1, Duration::from_secs(1));
-                }
-                CrowdKind::Idle => crowd.write_slowly(b"", 1, Duration::from_secs(2)),
-                CrowdKind::Flood => {
-                    drop(crowd);
-                    self.flood(addr);
-                }
-                CrowdKind::LeavesUnread => {
-                    drop(crowd);
-                    if let Some(mut one) = Crowd::try_connect(addr, 1) {
-                        one.write_until_blocked(|n| pay(&format!("left-{n}"), "3000m").into_bytes());
-                    }
-                }
-            }
-        }
-    }
-
-    /// Pipelines requests that are not admitted, for a second.
-    fn flood(&self, addr: SocketAddr) {
-        let started = Instant::now();
-        let block = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n".repeat(50);
-        let next_block = || (started.elapsed() < Duration::from_secs(1)).then(|| block.clone());
-        let _ = pipeline(addr, next_block);
-    }
-
-    /// A violation with all that the ledger knows of its request, and the kills of balancers.
-    fn trace(&self, violation: &Violation) -> String {
-        let is_relevant = |record: &Record| match &record.entry {
-            Entry::Killed { .. } => true,
-            entry => violation.subject.ends_with(entry.request().unwrap_or("no request")),
-        };
-        let records = self.ledger.since(0).into_iter().filter(is_relevant);
-        let lines =
-            records.map(|record| format!("\n    {:.3} s {:?}", record.time.as_secs_f64(), record.entry));
-        let trace = lines.fold(violation.to_string(), |text, line| text + &line);
-        let logs = lock(&self.logs);
-        let is_logged = |line: &str| line.contains(&violation.subject) || line.contains("signal");
-        let lines = logs.iter().filter(|(_, line)| is_logged(line));
-        lines.map(|(name, line)| format!("\n    {name}: {line}")).fold(trace, |text, line| text + &line)
-    }
-
-    fn report(&self, seed: u64, crowd: CrowdKind, callers: u64, served: u64) -> SoakReport {
-        let rules = RuleParameters::default();
-        for balancer in &self.balancers {
-            self.keep_log(&balancer.name, lock(&balancer.node).as_ref());
-        }
-        let mut failures = std::mem::take(&mut *lock(&self.failures));
-        failures.dedup();
-        failures.extend(self.ledger.check(&rules).iter().map(|violation| self.trace(violation)));
-        let summary = format!(
-            "seed {seed}: {} balancers, {callers} callers, crowd {crowd:?}: {served} served, peak memory {} MB, {} failures",
-            self.balancers.len(),
-            self.peak_memory.load(Ordering::Relaxed) / 1_000_000,
-            failures.len()
-        );
-        SoakReport { summary, failures }
-    }
 }
 
 /// Seeds that an environment variable gives as `FROM..TO`, or else the default ones.
