Follow SIGHUP during the start at once, also while no endpoint is known

Cause: a reload during the start was kept until the process was ready. Ready needs endpoints, and these could only come from the address in the configuration that was waiting.

Change: in the state Starting the files are read at once. A further SIGHUP meanwhile is followed by one more read; if the process becomes ready meanwhile, that read is an ordinary reload.

--- a/crates/foundations/lifecycle/src/state_machine.rs
+++ b/crates/foundations/lifecycle/src/state_machine.rs
@@ -71,6 +71,8 @@
     claim: ListenerClaim,
     /// Whether a reload was requested that could not start yet.
     reload_pending: bool,
+    /// Whether the files are being read before the process is ready.
+    reads_early: bool,
     /// Whether a successor has requested the sockets and has not disconnected.
     successor_connected: bool,
     accepting: bool,
@@ -95,6 +97,7 @@
             endpoints_known: false,
             claim: ListenerClaim::Owned,
             reload_pending: false,
+            reads_early: false,
             successor_connected: false,
             accepting: false,
             open_requests: 0,
@@ -196,7 +199,9 @@
             ListenerClaim::Owned => {
                 self.state = State::Ready;
                 actions.push(Action::NotifyReady);
-                self.start_pending_reload(actions);
+                if !self.reads_early {
+                    self.start_pending_reload(actions);
+                }
             }
             ListenerClaim::Unclaimed => {
                 self.claim = ListenerClaim::Claimed;
@@ -208,18 +213,29 @@
 
     fn reload(&mut self, actions: &mut Vec<Action>) {
         match self.state {
-            State::Ready => self.start_reload(actions),
+            State::Ready if !self.reads_early => self.start_reload(actions),
+            // At once, since only the new configuration may say where endpoints can be learned.
+            State::Starting if !self.reads_early => {
+                self.reads_early = true;
+                actions.push(Action::ReadFiles);
+            }
             // The files may have changed after they were read.
-            State::Starting | State::Reloading => self.reload_pending = true,
+            State::Starting | State::Ready | State::Reloading => self.reload_pending = true,
             _ => actions.push(Action::IgnoreSignal(Event::Reload)),
         }
     }
 
     fn reloaded(&mut self, actions: &mut Vec<Action>) {
-        if self.state == State::Reloading {
-            self.state = State::Ready;
-            actions.push(Action::NotifyReady);
-            self.start_pending_reload(actions);
+        let was_early = std::mem::take(&mut self.reads_early);
+        match self.state {
+            State::Reloading => {
+                self.state = State::Ready;
+                actions.push(Action::NotifyReady);
+                self.start_pending_reload(actions);
+            }
+            State::Ready if was_early => self.start_pending_reload(actions),
+            State::Starting if std::mem::take(&mut self.reload_pending) => self.reload(actions),
+            _ => {}
         }
     }
 
--- a/crates/herondock/tests/discovery.rs
+++ b/crates/herondock/tests/discovery.rs
@@ -263,3 +263,20 @@
     assert_eq!(upstream.count_new_requests(), 0);
     assert_eq!(node.client().call(&get("r2", "15000m")).status(), 200);
 }
+
+#[test]
+fn a_new_configuration_before_any_endpoint_is_known_is_applied() {
+    let upstream = Upstream::start(|_| ok("x"));
+    let (silent, moved) = (Discovery::start(), Discovery::start());
+    let at = |addr| config(addr, 1024, "null");
+    let node = Node::run(command(&at(silent.addr)), silent);
+    node.discovery.next_path();
+    moved.answer(&known(&upstream));
+    node.reload(&at(moved.addr));
+    let started = Instant::now();
+    while node.client().call("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() != 200 {
+        assert!(started.elapsed() < TEST_TIMEOUT, "the balancer does not become ready");
+        std::thread::yield_now();
+    }
+    assert_eq!(node.client().call(&get("r1", "5000m")).status(), 200);
+}
