--- a/crates/herondock/src/front/http/admission.rs
+++ b/crates/herondock/src/front/http/admission.rs
@@ -79,6 +79,11 @@
             carried.budget.left_ms = timeout_ms;
         }
         let reports_usage = budget.as_ref().is_some_and(|carried| carried.budget.reports_usage);
+        debug!(
+            "request {}: request {number} of {}",
+            head.headers.get(REQUEST_ID).map_or("", |id| id.to_str().unwrap_or("")),
+            client.peer
+        );
         let mut request = upstream_request(&head, classification.method, body, budget);
         request.client = Some(client.read_ahead.clone());
         let Classification { class, tenant, method, .. } = classification;
--- a/crates/verification/testkit/src/soak/judge.rs
+++ b/crates/verification/testkit/src/soak/judge.rs
@@ -74,7 +74,17 @@
             records.map(|record| format!("\n    {:.3} s {:?}", record.time.as_secs_f64(), record.entry));
         let trace = lines.fold(violation.to_string(), |text, line| text + &line);
         let logs = lock(&self.logs);
-        let is_logged = |line: &str| line.contains(&violation.subject) || line.contains("signal");
+        // The balancer names the client of a request, and then its connection by the client.
+        let client_of = |line: &str| {
+            let (_, client) = line.contains(&violation.subject).then(|| line.split_once(" of "))??;
+            Some(format!("connection of {client}:"))
+        };
+        let connections: Vec<String> = logs.iter().filter_map(|(_, line)| client_of(line)).collect();
+        let is_logged = |line: &str| {
+            line.contains(&violation.subject)
+                || line.contains("signal")
+                || connections.iter().any(|connection| line.contains(connection))
+        };
         let lines = logs.iter().filter(|(_, line)| is_logged(line));
         lines.map(|(name, line)| format!("\n    {name}: {line}")).fold(trace, |text, line| text + &line)
     }
