Test kit: a caller waits from the send for as long as its request states

Cause: the caller's wait counted from before its connection was made, while its request stated the full time. Nobody owes an answer to a client that has left; the ledger did not know that it had.

Change: the wait counts from each send, as the protocol has it. No check is weaker: a balancer is held to the time that its request states.

Evidence: the new test of the test kit failed before (not served) and passes.

--- a/crates/verification/testkit/src/caller.rs
+++ b/crates/verification/testkit/src/caller.rs
@@ -302,7 +302,6 @@
         if self.balancers.is_empty() || timeout.is_zero() {
             return AttemptOutcome::Unreached;
         }
-        let deadline = Instant::now() + timeout;
         let request = fresh_id();
         let mut was_sent = false;
         loop {
@@ -313,8 +312,8 @@
             let (effect, sent) = (operation.effect, request.clone());
             self.ledger.write(Entry::Sent { request: sent, balancer: balancer.clone(), effect, timeout });
             // Waits 200 ms longer than stated in the request, because the ledger decides whether an answer is
-            // late.
-            let max_wait = deadline.saturating_duration_since(Instant::now()) + Duration::from_millis(200);
+            // late. The time counts from the send, however long the connection took.
+            let max_wait = timeout + Duration::from_millis(200);
             let answer = match connection.request(operation, key, &request, timeout, max_wait) {
                 ResponseOutcome::Answer(answer) => answer,
                 // A balancer may close a connection between requests while this request is sent. The same
--- a/crates/verification/testkit/tests/standins.rs
+++ b/crates/verification/testkit/tests/standins.rs
@@ -179,3 +179,16 @@
         thread::yield_now();
     }
 }
+
+#[test]
+fn a_caller_waits_as_long_as_its_request_states_however_long_its_connection_took() {
+    let ledger = Arc::new(Ledger::new());
+    let upstream = Upstream::start(|message| {
+        let time = if message.path() == "/-/ready" { 800 } else { 500 };
+        Step::Work(Duration::from_millis(time), ok_response("x"))
+    });
+    let mut caller = caller(&ledger, &upstream).with_readiness_check();
+    let deadline = Duration::from_secs(10);
+    let operation = Operation { deadline, attempt_fraction: 0.1, retries: 0, ..operation(Effect::Safe) };
+    assert!(matches!(caller.call(&operation).outcome, Outcome::Served { .. }));
+}
