--- a/crates/verification/testkit/src/soak/judge.rs
+++ b/crates/verification/testkit/src/soak/judge.rs
@@ -72,13 +72,13 @@
         if violation.kind != ViolationKind::AnswerLate {
             return false;
         }
-        let due = self.ledger.since(0).into_iter().filter_map(|record| match record.entry {
+        let mut due = self.ledger.since(0).into_iter().filter_map(|record| match record.entry {
             Entry::Sent { request, timeout, .. } if violation.subject.ends_with(&request) => {
                 Some(record.time + timeout)
             }
             _ => None,
         });
-        due.last().is_some_and(|due| violation.time <= due + LATE_ANSWER_GRACE)
+        due.next_back().is_some_and(|due| violation.time <= due + LATE_ANSWER_GRACE)
     }
 
     /// A violation with all that the ledger knows of its request, and the kills of balancers.
