Test of unread requests: the first request is at its upstream before the flood

Cause: the test. Its client wrote r0 and everything behind it at once. On a busy machine the balancer first looked when more than the 32 KiB that are read ahead lay behind r0, so r0 was refused as well, which is what the mend is for; the test waited for it in vain.

Change: the client writes r0, the test waits until it is at the upstream, then the client writes until it is blocked and closes. What is asserted is the same: no further request reaches the upstream.

--- a/crates/herondock/tests/callers.rs
+++ b/crates/herondock/tests/callers.rs
@@ -243,8 +243,9 @@
     let (release, upstream) = upstream_holding_first_request();
     let node = with(&[upstream.addr]);
     let mut crowd = Crowd::connect(node.addr, 1);
-    crowd.write_until_blocked(|n| pay(&format!("r{n}"), "20000m").into_bytes());
+    crowd.write_all(|_| pay("r0", "20000m").into_bytes());
     assert_eq!(upstream.next_request().header("req-id"), Some("r0"));
+    crowd.write_until_blocked(|n| pay(&format!("r{}", n + 1), "20000m").into_bytes());
     drop(crowd);
     release.send(()).expect("the upstream waits");
     // The end of the stream becomes visible to the balancer only behind all that the caller had written.
