--- /dev/null
+++ b/review/standins-2/src/bin/case_10.rs
@@ -0,0 +1,91 @@
+//! New work goes to an upstream that drains: see `review/10/claim.txt`.
+use standins_2::{free_addr, Call, Case, Client, Discovery, Entry, Site, DUES};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+const BALANCERS: usize = 14;
+/// A change counts as told this long after discovery had it and could be reached.
+const TOLD: Duration = Duration::from_millis(6000);
+/// Grace of drains, and the extension of each time limit on sockets.
+const GRACE: Duration = Duration::from_millis(1050);
+/// Time for which discovery is down.
+const OUTAGE: Duration = Duration::from_millis(8000);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn main() {
+    let case = Case::start();
+    let discovery = Discovery::start(&case.record);
+    let mut draining = None;
+    for name in ["a", "b", "c", "d", "e", "f", "g", "h"] {
+        let addr = free_addr();
+        case.upstream(name, addr, 30, &[]);
+        let entry = Entry { addr, cell: 1, state: "active", started_ms: 0 };
+        discovery.set(name, entry.clone());
+        draining.get_or_insert(Entry { state: "leaving", ..entry });
+    }
+    let names: Vec<String> = (0..BALANCERS).map(|index| format!("n{index}")).collect();
+    let addrs: Vec<_> = names.iter().map(|_| free_addr()).collect();
+    for (index, (name, &listen)) in names.iter().zip(&addrs).enumerate() {
+        let (known, balancers) = (discovery.list(), BALANCERS);
+        let site = Site { name, listen, discovery: discovery.addr, known, classes: DUES, index, balancers };
+        case.start_balancer(name, listen, discovery.addr, &site.json());
+    }
+    names.iter().zip(&addrs).for_each(|(name, &listen)| case.wait_ready(name, listen));
+    let done = Arc::new(AtomicBool::new(false));
+    let client = |listen| {
+        let (done, record) = (done.clone(), case.record.clone());
+        thread::spawn(move || {
+            let mut client = Client::connect(listen).expect("a connection");
+            while !done.load(Ordering::SeqCst) {
+                let call = Call::new("dues", 3000, false, 200);
+                client.send(&call.bytes()).expect("writes");
+                let answer = client.answer(ms(4000)).expect("an answer");
+                record.line(&format!("client of {listen} gets {} for {}", answer.status, call.id));
+                if answer.closes {
+                    client = Client::connect(listen).expect("a connection");
+                }
+                thread::sleep(ms(100));
+            }
+        })
+    };
+    let clients: Vec<_> = addrs.iter().map(|&listen| client(listen)).collect();
+    thread::sleep(ms(3000));
+    if case.trouble {
+        discovery.set_down(true);
+        thread::sleep(OUTAGE);
+        // It comes back with too many callers. Their calls are worked through in turn: those that come in the first 1.4 s
+        // have waited too long after 3 s, and fail; later ones are answered after up to 2.6 s.
+        discovery.set_backlog(ms(4400));
+        discovery.set_down(false);
+    }
+    thread::sleep(ms(500));
+    discovery.set("a", draining.unwrap());
+    let had_at = case.record.elapsed();
+    let limit = had_at + TOLD + GRACE;
+    while case.record.elapsed() < had_at + ms(14_000) {
+        if case.trouble {
+            // Other callers keep the queue at this length.
+            discovery.keep_backlog(ms(2600));
+        }
+        thread::sleep(ms(20));
+    }
+    done.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|client| client.join().unwrap());
+    let runs = case.runs.lock().unwrap().clone();
+    let late: Vec<_> = runs.iter().filter(|run| run.upstream == "a" && run.at > limit).collect();
+    for run in &late {
+        let by = (run.at - limit).as_secs_f64();
+        case.record.line(&format!("{} was sent to a, which drains, {by:.3} s after the grace", run.id));
+    }
+    let last = late.iter().map(|run| run.at - limit).max().unwrap_or_default().as_secs_f64();
+    let count = late.len();
+    case.finish(
+        count,
+        &format!("{count} requests sent to the draining upstream after the grace, up to {last:.3} s"),
+    );
+}
