--- a/review/standins-2/src/bin/case_8.rs
+++ b/review/standins-2/src/bin/case_8.rs
@@ -43,6 +43,8 @@
         classes: &classes,
         index: 0,
         balancers: 1,
+        memory_mb: 192,
+        sockets: 512,
     };
     case.start_balancer("n1", listen, discovery.addr, &site.json());
     case.wait_ready("n1", listen);
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -169,19 +169,15 @@
         self.record.line(&format!("{name} was killed"));
     }
 
-    /// Sends a signal to a process that this case started.
-    pub fn signal(&self, name: &str, signal: &str) {
-        let id = self.children.lock().unwrap().iter().find(|(other, _)| other == name).map(|(_, c)| c.id());
-        let id = id.expect("a process of that name");
-        let sent = Command::new("/bin/sh").args(["-c", &format!("kill -{signal} {id}")]).status();
-        self.record.line(&format!("{name} gets SIG{signal}: {}", sent.is_ok_and(|s| s.success())));
-    }
-
-    /// Whether a process that this case started has ended.
-    pub fn has_ended(&self, name: &str) -> bool {
-        let mut children = self.children.lock().unwrap();
-        let child = children.iter_mut().find(|(other, _)| other == name);
-        child.is_none_or(|(_, child)| child.try_wait().is_ok_and(|status| status.is_some()))
+    /// Memory of a process that this case started, in bytes: its own pages, without those of files that are mapped.
+    /// `None`: it has ended.
+    pub fn memory(&self, name: &str) -> Option<u64> {
+        let id =
+            self.children.lock().unwrap().iter().find(|(other, _)| other == name).map(|(_, c)| c.id())?;
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let own = status.lines().filter(|line| line.starts_with("RssAnon:") || line.starts_with("RssShmem:"));
+        let kib = own.filter_map(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+        Some(kib.sum::<u64>() << 10)
     }
 
     /// Writes the configuration of a balancer.
@@ -213,6 +209,9 @@
             .stderr(log)
             .spawn()
             .expect("the balancer starts");
+        // For the script, should it be stopped.
+        let pids = File::options().create(true).append(true).open(std::env::temp_dir().join("pids"));
+        let _ = pids.and_then(|mut pids| writeln!(pids, "{}", child.id()));
         self.record.line(&format!("balancer {name} is started by `{run}`"));
         self.children.lock().unwrap().push((name.into(), child));
     }
@@ -265,16 +264,19 @@
     /// Number of the balancer, and of all balancers.
     pub index: usize,
     pub balancers: usize,
+    /// Limits on its memory, in megabytes, and on its descriptors.
+    pub memory_mb: u64,
+    pub sockets: usize,
 }
 
 impl Site<'_> {
     pub fn json(&self) -> String {
-        let Site { name, listen, discovery, known, classes, index, balancers } = self;
+        let Site { name, listen, discovery, known, classes, index, balancers, memory_mb, sockets } = self;
         // New with each start.
         let seed = unix_ms().wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (*index as u64 + 1);
         format!(
             r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"{seed:016x}",
-"limits":{{"cores":1.0,"memory_mb":192,"sockets":512}},"peers":[],"known":{known},
+"limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"peers":[],"known":{known},
 "settings":{{"balancers":{balancers},"index":{index},"domain_type":"chain","membership_mode":"on_request","stage":0,
 "tiers":["front","back"],"dcs":["z-1"],"zone":0,"kinds":["std"],"weights":"none","worth_by":"request","tick":5.0,
 "classes":[{classes}],
