--- a/review/standins-2/src/bin/case_10.rs
+++ b/review/standins-2/src/bin/case_10.rs
@@ -1,7 +1,8 @@
 //! New work goes to an upstream that drains: see `review/10/claim.txt`.
-use standins_2::{free_addr, Call, Case, Client, Discovery, Entry, Site, DUES};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use standins_2::{free_addr, meaning, Call, Case, Client, Discovery, Entry, Site, DUES};
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -13,6 +14,14 @@
 /// Time for which discovery is down.
 const OUTAGE: Duration = Duration::from_millis(8000);
 
+/// Work of a request, in milliseconds, and the clients of each balancer: 9 requests a second.
+const WORK_MS: u64 = 800;
+const CLIENTS: usize = 8;
+/// Time after the grace at which the drained upstream ends.
+const END: Duration = Duration::from_millis(800);
+
+static NEXT: AtomicU64 = AtomicU64::new(0);
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -23,7 +32,7 @@
     let mut draining = None;
     for name in ["a", "b", "c", "d", "e", "f", "g", "h"] {
         let addr = free_addr();
-        case.upstream(name, addr, 30, &[]);
+        case.upstream(name, addr, WORK_MS, &[]);
         let entry = Entry { addr, cell: 1, state: "active", started_ms: 0 };
         discovery.set(name, entry.clone());
         draining.get_or_insert(Entry { state: "leaving", ..entry });
@@ -32,13 +41,24 @@
     let addrs: Vec<_> = names.iter().map(|_| free_addr()).collect();
     for (index, (name, &listen)) in names.iter().zip(&addrs).enumerate() {
         let (known, balancers) = (discovery.list(), BALANCERS);
-        let site = Site { name, listen, discovery: discovery.addr, known, classes: DUES, index, balancers };
+        let site = Site {
+            name,
+            listen,
+            discovery: discovery.addr,
+            known,
+            classes: DUES,
+            index,
+            balancers,
+            memory_mb: 192,
+            sockets: 512,
+        };
         case.start_balancer(name, listen, discovery.addr, &site.json());
     }
     names.iter().zip(&addrs).for_each(|(name, &listen)| case.wait_ready(name, listen));
     let done = Arc::new(AtomicBool::new(false));
+    let failed = Arc::new(Mutex::new(BTreeSet::new()));
     let client = |listen| {
-        let (done, record) = (done.clone(), case.record.clone());
+        let (done, record, failed) = (done.clone(), case.record.clone(), failed.clone());
         thread::spawn(move || {
             let mut client = Client::connect(listen).expect("a connection");
             while !done.load(Ordering::SeqCst) {
@@ -46,14 +66,18 @@
                 client.send(&call.bytes()).expect("writes");
                 let answer = client.answer(ms(4000)).expect("an answer");
                 record.line(&format!("client of {listen} gets {} for {}", answer.status, call.id));
+                if meaning(answer.status) == "failed" {
+                    failed.lock().unwrap().insert(call.id);
+                }
                 if answer.closes {
                     client = Client::connect(listen).expect("a connection");
                 }
-                thread::sleep(ms(100));
+                // Spreads the requests of the clients.
+                thread::sleep(ms(1 + NEXT.fetch_add(61, Ordering::SeqCst) % 200));
             }
         })
     };
-    let clients: Vec<_> = addrs.iter().map(|&listen| client(listen)).collect();
+    let clients: Vec<_> = (0..CLIENTS).flat_map(|_| &addrs).map(|&listen| client(listen)).collect();
     thread::sleep(ms(3000));
     if case.trouble {
         discovery.set_down(true);
@@ -67,12 +91,18 @@
     discovery.set("a", draining.unwrap());
     let had_at = case.record.elapsed();
     let limit = had_at + TOLD + GRACE;
-    while case.record.elapsed() < had_at + ms(14_000) {
+    let mut has_ended = false;
+    while case.record.elapsed() < had_at + ms(12_000) {
         if case.trouble {
             // Other callers keep the queue at this length.
             discovery.keep_backlog(ms(2600));
         }
-        thread::sleep(ms(20));
+        // It has had time to finish what it had.
+        if !has_ended && case.record.elapsed() > limit + END {
+            case.kill("a");
+            has_ended = true;
+        }
+        thread::sleep(ms(10));
     }
     done.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|client| client.join().unwrap());
@@ -82,10 +112,11 @@
         let by = (run.at - limit).as_secs_f64();
         case.record.line(&format!("{} was sent to a, which drains, {by:.3} s after the grace", run.id));
     }
-    let last = late.iter().map(|run| run.at - limit).max().unwrap_or_default().as_secs_f64();
+    let failed = failed.lock().unwrap();
+    let cut = late.iter().filter(|run| failed.contains(&run.id)).count();
     let count = late.len();
-    case.finish(
-        count,
-        &format!("{count} requests sent to the draining upstream after the grace, up to {last:.3} s"),
+    let verdict = format!(
+        "{count} requests sent to the draining upstream after the grace; {cut} of these unsafe requests were cut off by its end"
     );
+    case.finish(count, &verdict);
 }
