Discovery: a retry leaves as much time for its response as the last call waited

Cause: after a call that waited and failed, the retry was drawn from all of the time that was left, less half a second, though the call had just shown a queue of 3 s. The time counted from the break of the watch; after a longer outage nothing was left and the draw began anew with the whole time. The backoff of rejected calls came on top.

Change: the first retry leaves as much time as the call waited, counted from the last call that was rejected at once. If it waits in vain too, further ones come 5.5 to 6.55 s from call to call, so that an overloaded queue can shorten. A call that found no connection counts as rejected, not as one that waited.

--- a/crates/data-plane/discovery/src/platform/staleness.rs
+++ b/crates/data-plane/discovery/src/platform/staleness.rs
@@ -15,9 +15,13 @@
 //! queue, and times out after 4 s, including its time in the queue. Whatever fails, a change counts as known
 //! [`SILENT_WATCH_DEADLINE`] after the service had it and could be reached. A request that was rejected at once has used
 //! no time of the service: the backoff doubles from 0.3 to 3 s, to 1 s after a change of the address. A request that
-//! waited and failed is retried 2 s after its own start at the earliest, and at the latest with half a second left of
-//! the 7.05 s (random between). Earlier retries would be worse: the service handles its queue in order, expired requests
-//! included, and instances that retry at once keep it full of requests that time out (`tests/watch.rs` simulates both).
+//! waited and failed is retried 2 s after its own start at the earliest, and at the latest with as much of the remaining
+//! time left as it has waited itself, at once if less is left: the queue may still be as long. After an outage the time
+//! counts from the last request that was rejected at once, since the service may have returned right after it. If the retry
+//! has waited and failed too, it is too late for the missed changes: each further one is sent 5.5 to 6.55 s after the start
+//! of the one before, until a request succeeds. Earlier retries would be worse: the service handles its queue in order,
+//! expired requests included, and instances that retry at once keep it full of requests that time out (`tests/watch.rs`
+//! simulates both).
 //!
 //! Where lists are pushed to an agent on this machine, which responds at once and at no cost, a change counts as known as
 //! soon as the agent has it, whether or not a watch is established: wait and response timeout together stay below the grace,
@@ -59,7 +63,10 @@
 const MAX_REJECTED_BACKOFF: Duration = ms(3000);
 /// Earliest retry of a failed request that opens a watch, counted from its start, where the service is queried.
 const MIN_RETRY_DELAY: Duration = ms(2000);
-/// Time that the spreading of retries reserves for the last response.
+/// Earliest retry after the second consecutive one that waited and failed, counted from its start, so that the
+/// queue of an overloaded service can shorten.
+const MIN_FURTHER_RETRY_DELAY: Duration = ms(5500);
+/// Minimum time that the spreading of retries reserves for the last response.
 const RESPONSE_RESERVE: Duration = ms(500);
 /// First delay after a failure at the agent on this machine.
 const AGENT_INITIAL_BACKOFF: Duration = ms(10);
@@ -99,6 +106,7 @@
             max_gap: MAX_WATCH_GAP,
             retry_spread: Some(RetrySpread {
                 min_delay: MIN_RETRY_DELAY,
+                min_further_delay: MIN_FURTHER_RETRY_DELAY,
                 read_deadline: SILENT_WATCH_DEADLINE + self.drain_grace + SOCKET_SLACK,
                 moved_read_deadline: ADDRESS_CHANGE_DEADLINE + self.drain_grace + SOCKET_SLACK,
                 response_reserve: RESPONSE_RESERVE,
--- a/crates/data-plane/discovery/src/platform/watch.rs
+++ b/crates/data-plane/discovery/src/platform/watch.rs
@@ -126,6 +126,16 @@
     /// No complete response was received. `draw`, from 0 to 1, is the jitter of the delay.
     pub fn on_failure(&mut self, now: Duration, reason: &str, draw: f64) -> ResponseOutcome {
         self.watch.call_failed(now, draw);
+        self.unavailable(reason)
+    }
+
+    /// No connection was established. `draw`, from 0 to 1, is the jitter of the delay.
+    pub fn on_connect_failure(&mut self, now: Duration, reason: &str, draw: f64) -> ResponseOutcome {
+        self.watch.connect_failed(now, draw);
+        self.unavailable(reason)
+    }
+
+    fn unavailable(&self, reason: &str) -> ResponseOutcome {
         let unavailable = SourceUpdate::Unavailable(reason.into());
         ResponseOutcome {
             update: unavailable,
--- a/crates/data-plane/discovery/src/watch.rs
+++ b/crates/data-plane/discovery/src/watch.rs
@@ -42,20 +42,23 @@
     pub retry_spread: Option<RetrySpread>,
 }
 
-/// Time of the retry after a request that waited and failed while no watch was established, counted from the start of
-/// that request: random between two bounds, within the time that is left until the list must have been read. Guards
-/// against retries that keep the registry's queue full of requests that time out.
+/// Time of the retry after a request that waited and failed while no watch was established: random between two bounds. The
+/// retry after the first such request leaves as much of the time until the list must have been read as that request has
+/// waited. After further ones the missed changes can't be read in time any more, and the bounds are wider. Guards against
+/// retries that keep the registry's queue full of requests that time out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetrySpread {
-    /// Earliest retry, if the remaining time allows.
+    /// Earliest retry after the first such request, counted from its start, if the remaining time allows.
     pub min_delay: Duration,
+    /// Earliest retry after further ones, counted from the start of the last.
+    pub min_further_delay: Duration,
     /// Time after which a missed change must have been read, counted from the break of the watch, or from the start of
-    /// its last request if that timed out.
+    /// its last request if that timed out; after an outage, from the return of the registry.
     pub read_deadline: Duration,
     /// The same, counted from a change of the registry's address.
     pub moved_read_deadline: Duration,
-    /// Part of the remaining time that is reserved for the last response, and the shortest range over which retries are
-    /// spread. A request that failed sooner has not waited in the queue.
+    /// Minimum part of the remaining time that is reserved for the last response. A request that failed sooner has not
+    /// waited in the queue.
     pub response_reserve: Duration,
 }
 
@@ -109,8 +112,12 @@
     phase: Phase,
     /// Whether the registry's address has changed and no response was received since.
     address_changed: bool,
-    /// Time by which missed changes must have been read.
+    /// Time by which changes that were missed since the watch broke must have been read.
     read_deadline: Duration,
+    /// Time of the last request that was rejected at once, after which the registry may have returned from an outage.
+    rejected_at: Option<Duration>,
+    /// Time of the last request that waited and failed while no watch was established.
+    failed_wait_at: Option<Duration>,
     next_call_at: Duration,
     last_call: Option<SentCall>,
     /// Consecutive requests other than long polls that timed out.
@@ -130,6 +137,8 @@
             phase: Phase::Opening,
             address_changed: false,
             read_deadline,
+            rejected_at: None,
+            failed_wait_at: None,
             next_call_at: Duration::ZERO,
             last_call: None,
             timeouts: 0,
@@ -146,6 +155,8 @@
         let max_read_delay =
             self.timing.retry_spread.map_or(Duration::ZERO, |spread| spread.moved_read_deadline);
         self.read_deadline = now + max_read_delay;
+        self.rejected_at = None;
+        self.failed_wait_at = None;
         self.backoff.reset();
     }
 
@@ -195,6 +206,8 @@
             self.backoff.reset();
         }
         self.timeouts = 0;
+        self.rejected_at = None;
+        self.failed_wait_at = None;
         self.address_changed = false;
         self.phase = Phase::Established;
         self.last_response_at = now;
@@ -204,44 +217,78 @@
     /// The request failed: it timed out, its connection broke, or the response is not usable. `draw`, from 0 to 1, is the
     /// jitter of the delay.
     pub fn call_failed(&mut self, now: Duration, draw: f64) {
+        self.schedule_retry(now, draw, true);
+    }
+
+    /// The request was not sent, since no connection was established. `draw`, from 0 to 1, is the jitter of the delay.
+    pub fn connect_failed(&mut self, now: Duration, draw: f64) {
+        self.schedule_retry(now, draw, false);
+    }
+
+    /// Schedules the retry of a request. `was_sent`: it may have waited in the registry's queue.
+    fn schedule_retry(&mut self, now: Duration, draw: f64, was_sent: bool) {
         let was_established = self.phase == Phase::Established;
         if let Some(call) = self.last_call {
             if call.kind != CallKind::LongPoll && now >= call.deadline {
                 self.timeouts = self.timeouts.saturating_add(1);
             }
         }
-        let spread_until = match (self.timing.retry_spread, self.last_call) {
-            (Some(spread), Some(call)) => self.spread_retry(now, draw, spread, call),
-            _ => Duration::ZERO,
-        };
         let max_delay = if was_established || self.address_changed {
             self.timing.max_backoff
         } else {
             self.timing.max_rejected_backoff
         };
-        let delay = self.backoff.next_delay(draw).min(backoff::with_jitter(max_delay, draw));
+        let backoff_until = now + self.backoff.next_delay(draw).min(backoff::with_jitter(max_delay, draw));
+        self.next_call_at = match (self.timing.retry_spread, self.last_call) {
+            (Some(spread), Some(call)) => {
+                let waited = if was_sent { now.saturating_sub(call.started_at) } else { Duration::ZERO };
+                self.spread_retry(now, draw, spread, call, waited, backoff_until)
+            }
+            _ => backoff_until,
+        };
         self.phase = Phase::Opening;
-        self.next_call_at = spread_until.max(now + delay);
     }
 
-    /// Earliest time of the retry by the spreading of retries; zero if it does not apply.
-    fn spread_retry(&mut self, now: Duration, draw: f64, spread: RetrySpread, call: SentCall) -> Duration {
+    /// Time of the retry of a request that `waited` in the registry's queue. `backoff_until`: end of the backoff.
+    fn spread_retry(
+        &mut self,
+        now: Duration,
+        draw: f64,
+        spread: RetrySpread,
+        call: SentCall,
+        waited: Duration,
+        backoff_until: Duration,
+    ) -> Duration {
         if self.phase == Phase::Established {
             let missed_since = if now >= call.deadline { call.started_at } else { now };
             self.read_deadline = missed_since + spread.read_deadline;
-            return Duration::ZERO;
+            return backoff_until;
         }
-        let reserve = spread.response_reserve;
-        if now < call.started_at + reserve {
-            // Rejected at once: the request has used no time of the registry, whose queue moves on.
-            return Duration::ZERO;
+        if waited < spread.response_reserve {
+            // The request has used no time of the registry, whose queue moves on.
+            self.rejected_at = Some(now);
+            return backoff_until;
         }
-        let remaining = self.read_deadline.saturating_sub(call.started_at + reserve);
-        // If it is too late for the missed changes, later ones have the complete time again.
-        let full_delay = spread.read_deadline.saturating_sub(reserve);
-        let latest = if remaining < reserve { full_delay } else { remaining.min(full_delay) };
-        let earliest = spread.min_delay.min(latest);
-        call.started_at + earliest + (latest - earliest).mul_f64(backoff::clamp_draw(draw))
+        let last_failed_wait_at = self.failed_wait_at.replace(now);
+        if last_failed_wait_at.is_none_or(|failed_at| call.started_at >= failed_at + spread.read_deadline) {
+            // The retry may have to wait as long as this request did.
+            let latest = self.next_read_deadline(now, spread).saturating_sub(waited).max(now);
+            let earliest = (call.started_at + spread.min_delay).clamp(now, latest);
+            return random_between(earliest, latest, draw);
+        }
+        // It is too late for the missed changes; later ones have the complete time again. The queue gets time to shorten.
+        let latest = call.started_at + spread.read_deadline.saturating_sub(spread.response_reserve);
+        let earliest = (call.started_at + spread.min_further_delay).min(latest);
+        random_between(earliest, latest, draw).max(backoff_until)
+    }
+
+    /// Earliest time by which changes that have been missed must be read: those since the watch broke, or if that time is
+    /// over, those since the registry may have returned from an outage. Zero if both are over.
+    fn next_read_deadline(&self, now: Duration, spread: RetrySpread) -> Duration {
+        if self.read_deadline > now {
+            return self.read_deadline;
+        }
+        self.rejected_at.map_or(Duration::ZERO, |rejected_at| rejected_at + spread.read_deadline)
     }
 
     /// Earliest time of the next request.
@@ -254,3 +301,8 @@
         self.next_call_at = self.next_call_at.max(time);
     }
 }
+
+/// A time from `earliest` to `latest`, given a random number from 0 to 1.
+fn random_between(earliest: Duration, latest: Duration, draw: f64) -> Duration {
+    earliest + latest.saturating_sub(earliest).mul_f64(backoff::clamp_draw(draw))
+}
--- a/crates/data-plane/discovery/tests/watch.rs
+++ b/crates/data-plane/discovery/tests/watch.rs
@@ -2,7 +2,8 @@
 //! model of the platform's protocol computes when each change counts as known; no instance may use an older list after
 //! that. Faulty timings are detected.
 use discovery::platform::staleness::{
-    StalenessSettings, AFTER_WAIT_DEADLINE, MAX_WATCH_GAP, SILENT_WATCH_DEADLINE, SOCKET_SLACK,
+    StalenessSettings, ADDRESS_CHANGE_DEADLINE, AFTER_WAIT_DEADLINE, MAX_WATCH_GAP, SILENT_WATCH_DEADLINE,
+    SOCKET_SLACK,
 };
 use discovery::platform::watch::{NextStep, Watch};
 use discovery::watch::{CallKind, WatchTiming};
@@ -12,6 +13,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+/// Time from the return of discovery to the change of [`Fault::CrowdedReturn`].
+const CHANGE_AFTER_RETURN: Duration = ms(500);
+
 const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -25,6 +29,10 @@
     round_time: u64,
     /// Maximum time that a call may spend in the queue of discovery.
     queue_limit: u64,
+    /// What discovery does with calls that would spend more time there.
+    overload: Overload,
+    /// Work of other callers that always waits in the queue after [`Fault::CrowdedReturn`].
+    other_work: u64,
     grace: u64,
     /// Time after a change by which an instance without an open watch must have requested the list.
     query_deadline: u64,
@@ -35,6 +43,17 @@
     seed: u64,
 }
 
+/// What discovery does with a call that would wait too long in its queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Overload {
+    /// Rejects it at once.
+    Reject,
+    /// Fails it after the longest wait, without work for it.
+    Expire,
+    /// Fails it after the longest wait, and handles it all the same.
+    ExpireAndWork,
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Fault {
     /// An upstream leaves.
@@ -45,6 +64,8 @@
     Reset,
     /// Discovery is down for this time, an agent is silent meanwhile, and an upstream leaves.
     Outage(u64),
+    /// Discovery is down for this time and returns with this much work of other callers. An upstream leaves right after.
+    CrowdedReturn(u64, u64),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -61,6 +82,8 @@
     Reset,
     OutageStart,
     OutageEnd,
+    /// Other callers add this much work.
+    Crowd(u64),
 }
 
 struct Call {
@@ -97,6 +120,8 @@
     /// Time until which the queue of discovery is busy.
     busy_until: Duration,
     down: bool,
+    /// Whether other callers fill the queue.
+    crowded: bool,
     /// Time at which each change counts as known, for each instance.
     known_at: Vec<Vec<Duration>>,
     /// Changes that agents have not received because discovery was down.
@@ -157,12 +182,19 @@
         } else if scenario.pushed || continues_watch {
             self.schedule(now, Event::Dequeued(id));
         } else {
+            if self.crowded {
+                self.busy_until = self.busy_until.max(now + ms(scenario.other_work));
+            }
             let (start, queue_limit) = (self.busy_until.max(now), ms(scenario.queue_limit));
-            // A call that would reach the head of the queue too late is rejected at once.
+            let work = ms(scenario.round_time) / scenario.instances as u32;
             if start > now + queue_limit {
-                return self.schedule(now + ms(10), Event::Response(id, None));
+                if scenario.overload == Overload::ExpireAndWork {
+                    self.busy_until = start + work;
+                }
+                let wait = if scenario.overload == Overload::Reject { ms(10) } else { queue_limit };
+                return self.schedule(now + wait, Event::Response(id, None));
             }
-            self.busy_until = start + ms(scenario.round_time) / scenario.instances as u32;
+            self.busy_until = start + work;
             // A call that has waited too long fails, but is handled all the same.
             if self.busy_until > now + queue_limit {
                 return self.schedule(now + queue_limit, Event::Response(id, None));
@@ -285,6 +317,10 @@
                     }
                 }
             }
+            Event::Crowd(work) => {
+                self.busy_until = now + ms(work);
+                self.crowded = true;
+            }
             Event::OutageEnd => {
                 self.down = false;
                 // Changes that an agent receives after the outage count as known at once, whether or not a watch is open.
@@ -335,6 +371,7 @@
         version: 0,
         busy_until: Duration::ZERO,
         down: false,
+        crowded: false,
         known_at: Vec::new(),
         undelivered: VecDeque::new(),
         randomized,
@@ -357,6 +394,12 @@
                 simulation.schedule(time + ms(duration / 2), Event::Change);
                 simulation.schedule(time + ms(duration), Event::OutageEnd);
             }
+            Fault::CrowdedReturn(duration, work) => {
+                simulation.schedule(time, Event::OutageStart);
+                simulation.schedule(time + ms(duration), Event::OutageEnd);
+                simulation.schedule(time + ms(duration), Event::Crowd(work));
+                simulation.schedule(time + ms(duration) + CHANGE_AFTER_RETURN, Event::Change);
+            }
         }
     }
     let end = ms(scenario.faults.iter().map(|fault| fault.0).max().unwrap_or(0) + 60_000);
@@ -402,6 +445,8 @@
             instances,
             round_time,
             queue_limit,
+            overload: Overload::Reject,
+            other_work: 0,
             grace: 1000,
             query_deadline,
             max_read_delay,
@@ -477,6 +522,8 @@
         instances: 300,
         round_time: 7000,
         queue_limit: 2000,
+        overload: Overload::Reject,
+        other_work: 0,
         grace: 1000,
         query_deadline: 10_000,
         max_read_delay: 10,
@@ -554,3 +601,118 @@
         }
     }
 }
+
+/// Guards against drains that are learned too late after an outage: discovery returns with so much work of other callers
+/// that the first calls wait in vain, and their retries have to wait as well.
+#[test]
+fn instances_whose_first_calls_after_an_outage_expire_read_changes_in_time() {
+    let timing = StalenessSettings { lists_are_pushed: false, drain_grace: ms(1000) }.watch_timing();
+    for (instances, seeds) in [(14, 40), (60, 20), (300, 5)] {
+        for (returning_work, other_work) in [(4400, 2600), (3500, 2000), (5900, 1000)] {
+            for seed in 0..seeds {
+                let scenario = Scenario {
+                    pushed: false,
+                    instances,
+                    round_time: 300,
+                    queue_limit: 3000,
+                    overload: Overload::Expire,
+                    other_work,
+                    grace: 1000,
+                    query_deadline: 10_000,
+                    max_read_delay: 10,
+                    faults: vec![(3000, Fault::CrowdedReturn(8000, returning_work))],
+                    seed,
+                };
+                let result = run(&scenario, &timing, true, true);
+                assert_eq!(result, Ok(()), "{instances} instances, seed {seed}, {returning_work} ms of work");
+            }
+        }
+    }
+}
+
+/// Guards against retries after an outage that keep a discovery service overloaded which takes 7 s for a call of each
+/// instance: 22 s after its return all have a watch again.
+#[test]
+fn an_overloaded_discovery_recovers_whatever_it_does_with_expired_calls() {
+    let timing = StalenessSettings { lists_are_pushed: false, drain_grace: ms(1000) }.watch_timing();
+    for overload in [Overload::Reject, Overload::Expire, Overload::ExpireAndWork] {
+        for (instances, queue_limit) in [(60, 3000), (300, 3000), (300, 2000)] {
+            let scenario = Scenario {
+                pushed: false,
+                instances,
+                round_time: 7000,
+                queue_limit,
+                overload,
+                other_work: 0,
+                grace: 1000,
+                query_deadline: 10_000,
+                max_read_delay: 10,
+                faults: vec![(20_000, Fault::CrowdedReturn(8000, 0)), (50_000, Fault::Change)],
+                seed: 67,
+            };
+            let stale = stale_lists(&scenario, &timing, true, true).iter().filter(|s| s.0 == 1).count();
+            assert_eq!(stale, 0, "{overload:?}, {instances} instances, a queue of {queue_limit} ms");
+        }
+    }
+}
+
+/// Sends the next call of a watch, and lets it fail after `call_time`. Returns when it was sent.
+fn fail_next_call(watch: &mut Watch, now: &mut Duration, call_time: Duration, draw: f64) -> Duration {
+    while let NextStep::Wait(until) = watch.next_step(*now, draw) {
+        *now = until;
+    }
+    let sent_at = *now;
+    *now += call_time;
+    watch.on_failure(*now, "503", draw);
+    sent_at
+}
+
+/// Guards against a retry that leaves less time for its response than the call before has waited in vain: at the start, after
+/// a break of the watch and after a move of discovery.
+#[test]
+fn retry_after_a_call_that_waited_leaves_time_for_as_long_a_wait() {
+    let settings = StalenessSettings { lists_are_pushed: false, drain_grace: ms(1000) };
+    let deadline = SILENT_WATCH_DEADLINE + ms(1000) + SOCKET_SLACK;
+    let moved_deadline = ADDRESS_CHANGE_DEADLINE + ms(1000) + SOCKET_SLACK;
+    let established = |now: Duration| {
+        let mut watch = Watch::new(&settings, Some(0));
+        assert!(matches!(watch.next_step(now, 0.5), NextStep::Call(_)));
+        watch.on_response(now, 200, br#"{"version":0,"full":false,"servers":[]}"#, 0.5);
+        watch
+    };
+    for (wait, draw) in [(ms(1000), 1.0), (ms(2000), 1.0), (ms(3000), 0.0), (ms(3000), 1.0)] {
+        let (mut started, mut broken, mut moved) =
+            (Watch::new(&settings, Some(0)), established(ms(0)), established(ms(0)));
+        fail_next_call(&mut broken, &mut ms(0), ms(0), draw);
+        moved.address_changed(ms(0));
+        for (watch, deadline) in
+            [(&mut started, deadline), (&mut broken, deadline), (&mut moved, moved_deadline)]
+        {
+            let mut now = ms(0);
+            fail_next_call(watch, &mut now, wait, draw);
+            let failed_at = now;
+            let retried_at = fail_next_call(watch, &mut now, wait, draw);
+            assert!(
+                retried_at <= failed_at.max(deadline - wait),
+                "{retried_at:?} after a wait of {wait:?} until {failed_at:?}, with {deadline:?}"
+            );
+        }
+    }
+}
+
+/// Guards against an outage whose connections hang being taken for a queue: after its return the next call comes as soon as
+/// after one that is rejected at once.
+#[test]
+fn call_that_found_no_connection_is_retried_like_a_rejected_one() {
+    let settings = StalenessSettings { lists_are_pushed: false, drain_grace: ms(1000) };
+    let mut watch = Watch::new(&settings, Some(0));
+    let mut now = ms(0);
+    for attempt in 0..20 {
+        while let NextStep::Wait(until) = watch.next_step(now, 1.0) {
+            assert!(until <= now + ms(3000), "{:?} after the failure, attempt {attempt}", until - now);
+            now = until;
+        }
+        now += ms(1000);
+        watch.on_connect_failure(now, "not connected in time", 1.0);
+    }
+}
--- a/crates/herondock/src/endpoint_sources/client.rs
+++ b/crates/herondock/src/endpoint_sources/client.rs
@@ -42,6 +42,13 @@
     Body(#[from] BodyError<hyper::Error>),
 }
 
+impl RequestError {
+    /// Whether no connection was established, so that the request was not sent.
+    pub fn is_unconnected(&self) -> bool {
+        matches!(self, RequestError::ConnectTimeout | RequestError::Connect(_))
+    }
+}
+
 /// A request to a registry.
 pub struct ApiRequest<'a> {
     /// Method, `GET` or `PUT`.
--- a/crates/herondock/src/endpoint_sources/discovery.rs
+++ b/crates/herondock/src/endpoint_sources/discovery.rs
@@ -100,6 +100,9 @@
                 debug!("discovery: received status {} with {} bytes", response.status, response.body.len());
                 self.watch.on_response(now, response.status.as_u16(), &response.body, draw)
             }
+            Err(error) if error.is_unconnected() => {
+                self.watch.on_connect_failure(now, &error.to_string(), draw)
+            }
             Err(error) => self.watch.on_failure(now, &error.to_string(), draw),
         }
     }
