HTTP upstreams: an answer without a length ends with the orderly end of its connection

An unsafe request that was declined without a length was not sent again.

Cause: transport/http.rs took every answer with neither Content-Length nor Transfer-Encoding for a reset, as soon as its head was there.

Evidence: in the record each "answers ID 200 with no length, whole, and closes" is followed at once by "client gets 502", and no other request has that.

Change: such an answer is read until its connection ends in order. A reset, too many bytes, an upgrade and two framings are failed attempts as before. The end may never come: a request that can be repeated gives up after a quarter of the time that is left, any other waits until its deadline. The connection is not used again.

Tests: whole_answers_without_a_length_are_forwarded and declined_request_is_retried_though_its_answer_has_no_length failed on the build before. Two more guard the mend: answers cut by a reset stay failed (20 of 20 for each form), and an endless one leaves time for a retry.

--- a/crates/herondock/src/driver/mod.rs
+++ b/crates/herondock/src/driver/mod.rs
@@ -339,6 +339,7 @@
             deadline,
             dedup_deadline,
             within_group: open.deduplication.is_some_and(|deduplication| deduplication.within_group),
+            is_repeatable: open.is_repeatable(),
             budget_grant: budget_grant.clone(),
         };
         let target = target.upstream.clone();
--- a/crates/herondock/src/driver/open_request.rs
+++ b/crates/herondock/src/driver/open_request.rs
@@ -97,6 +97,11 @@
         self.is_abandoned && self.may_have_run && self.request.method != Method::Get
     }
 
+    /// Whether another attempt may follow one that may have run.
+    pub(super) fn is_repeatable(&self) -> bool {
+        self.request.method == Method::Get || self.deduplication.is_some()
+    }
+
     fn count_served(&self) {
         request_counters::increment(&self.counters.served);
         if Instant::now() > self.late_at {
--- a/crates/herondock/src/exchange.rs
+++ b/crates/herondock/src/exchange.rs
@@ -228,6 +228,8 @@
     /// Whether only a group of upstreams discards duplicates of the request: a retry depends on the process that an
     /// earlier attempt has reached.
     pub within_group: bool,
+    /// Whether another attempt may follow one that may have run.
+    pub is_repeatable: bool,
     /// Share of the request's retry budget, where budgets are on.
     pub budget_grant: Option<Rc<BudgetGrant>>,
 }
--- a/crates/herondock/src/transport/http.rs
+++ b/crates/herondock/src/transport/http.rs
@@ -16,11 +16,15 @@
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// Maximum time until a connection is ready for its next request after an answer has been read completely.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 
+/// Part of the remaining time, as a divisor, for which the end of the connection is waited for where it ends the answer to
+/// a request that can be repeated: the end may never come.
+const CONNECTION_END_DIVISOR: u32 = 4;
+
 /// An open connection; closed when dropped.
 pub struct Conn {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -71,7 +75,7 @@
     async fn execute(peer: &Rc<Peer<Http>>, attempt: Attempt) -> AttemptResult {
         let Ok(mut request) = to_message(&attempt.request) else { return (AttemptOutcome::NotSent, None) };
         let max_body = peer.settings.limits.get().body;
-        let (mut conn, answer) = loop {
+        let (conn, answer) = loop {
             let (mut conn, reused) = match peer.take_idle() {
                 Some(conn) => (conn, true),
                 None => match dial(peer, attempt.deadline).await {
@@ -108,26 +112,22 @@
             }
         };
         attempt.record_usage(|name| answer.headers().get(name).map(HeaderValue::as_bytes));
-        if !has_unambiguous_length(&answer) {
-            return (AttemptOutcome::Reset, None);
-        }
+        let Some(framing) = framing_of(&answer) else { return (AttemptOutcome::Reset, None) };
         let ending = ending_of(&answer);
         let (head, body) = answer.into_parts();
         let reservation = peer.settings.memory.reservation(Purpose::Answer);
-        let body = match read_body(body, max_body, Some(reservation)).await {
-            Ok(body) => body,
-            Err(error) => {
-                if matches!(error, BodyError::Broken(_)) {
-                    peer.connection_ended(Instant::now());
-                }
+        let reading = read_body(body, max_body, Some(reservation));
+        let body = match timeout_at(framing.deadline(&attempt, Instant::now()), reading).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(BodyError::Broken(_))) => {
+                peer.connection_ended(Instant::now());
                 return (AttemptOutcome::Reset, None);
             }
+            Ok(Err(_)) | Err(_) => return (AttemptOutcome::Reset, None),
         };
         // Returned before the outcome is reported, so that the next attempt can use this connection.
-        if let Ok(Ok(())) = timeout(READY_TIMEOUT, conn.sender.ready()).await {
-            // Unread bytes on the connection are checked for when it is taken again.
-            let generation = conn.generation;
-            peer.return_idle(conn, generation, &attempt.gate);
+        if framing == Framing::StatedLength {
+            return_when_ready(peer, conn, &attempt).await;
         }
         let answer = match ending {
             AttemptOutcome::Ok => {
@@ -143,14 +143,46 @@
     }
 }
 
-/// Whether an answer states its length exactly once, in one way. An answer that is delimited by the end of its
-/// connection may be truncated, and one with two framings may be interpreted differently than the upstream intended.
-fn has_unambiguous_length<B>(answer: &Response<B>) -> bool {
+/// Returns a connection to the pool after an answer, unless the upstream closes it.
+async fn return_when_ready(peer: &Peer<Http>, mut conn: Conn, attempt: &Attempt) {
+    if let Ok(Ok(())) = timeout(READY_TIMEOUT, conn.sender.ready()).await {
+        // Unread bytes on the connection are checked for when it is taken again.
+        let generation = conn.generation;
+        peer.return_idle(conn, generation, &attempt.gate);
+    }
+}
+
+/// What ends the body of an answer (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    /// Its stated length, or its last chunk.
+    StatedLength,
+    /// The orderly end of the connection. A reset is a failure to read the body, and not its end.
+    ConnectionEnd,
+}
+
+impl Framing {
+    /// Time by which the body has to be complete.
+    fn deadline(self, attempt: &Attempt, now: Instant) -> Instant {
+        match self {
+            Framing::ConnectionEnd if attempt.is_repeatable => {
+                now + attempt.deadline.saturating_duration_since(now) / CONNECTION_END_DIVISOR
+            }
+            _ => attempt.deadline,
+        }
+    }
+}
+
+/// Returns the framing of an answer; `None`: it is ambiguous. An answer with two framings may be interpreted differently
+/// than the upstream intended.
+fn framing_of<B>(answer: &Response<B>) -> Option<Framing> {
     let values = |name| answer.headers().get_all(name).iter().collect::<Vec<_>>();
     match (&values(header::TRANSFER_ENCODING)[..], &values(header::CONTENT_LENGTH)[..]) {
-        ([], [length]) => length.as_bytes().iter().all(u8::is_ascii_digit),
-        ([coding], []) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
-        _ => false,
+        ([], [length]) if length.as_bytes().iter().all(u8::is_ascii_digit) => Some(Framing::StatedLength),
+        ([coding], []) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => Some(Framing::StatedLength),
+        // After an interim response, such as an upgrade, the bytes are of another protocol.
+        ([], []) if !answer.status().is_informational() => Some(Framing::ConnectionEnd),
+        _ => None,
     }
 }
 
--- a/crates/herondock/src/transport/http/tests.rs
+++ b/crates/herondock/src/transport/http/tests.rs
@@ -42,6 +42,7 @@
         deadline: timeout_at,
         dedup_deadline: None,
         within_group: false,
+        is_repeatable: true,
         budget_grant: no_grant,
     }
 }
--- a/crates/herondock/tests/upstreams.rs
+++ b/crates/herondock/tests/upstreams.rs
@@ -1,6 +1,9 @@
 //! Malformed or unexpected answers of upstreams. Each test guards against one way to assign or judge them wrongly.
 mod common;
 use common::*;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
 
 /// Asserts that this answer counts as a failed attempt that may have run: a request that must not run twice is not retried,
 /// its caller gets 502, and the connection to the upstream is closed.
@@ -38,6 +41,91 @@
     assert_failed_attempt(&format!("HTTP/1.1 200 OK\r\nX-Long: {}", "x".repeat(40_000)));
 }
 
+/// Largest body of an answer.
+const MAX_BODY: usize = 64 << 10;
+
+/// Guards against answers that are thrown away because their end is that of the connection: the request has run, and its
+/// caller would get 502.
+#[test]
+fn whole_answers_without_a_length_are_forwarded() {
+    let largest = "x".repeat(MAX_BODY);
+    for head in ["HTTP/1.1 200 OK\r\nConnection: close", "HTTP/1.1 200 OK\r\nX-A: b", "HTTP/1.0 200 OK"] {
+        for body in ["done", "", &largest] {
+            let text = format!("{head}\r\n\r\n{body}");
+            let upstream = Upstream::start(move |_| Step::AnswerAndClose(text.clone()));
+            let node = with(&[upstream.addr]);
+            let mut client = node.client();
+            for id in ["r1", "r2"] {
+                let answer = client.call(&pay(id, "15000m"));
+                assert_eq!(answer.status(), 200, "{head}, {} bytes", body.len());
+                assert_eq!(answer.body, body.as_bytes(), "{head}, {} bytes", body.len());
+            }
+            assert_eq!(upstream.count_new_requests(), 2);
+        }
+    }
+}
+
+/// Guards against a truncated answer that is passed on as a whole one: a reset is not the end of an answer.
+#[test]
+fn answers_without_a_length_that_are_cut_off_are_failed_attempts() {
+    let head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+    let too_long = "x".repeat(MAX_BODY + 1);
+    for step in [
+        || Step::AnswerAndReset("HTTP/1.1 200 OK\r\nConnection: close\r\n".into()),
+        || Step::AnswerAndReset("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n".into()),
+        || Step::AnswerAndReset("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart".into()),
+        || Step::AnswerAndReset(format!("HTTP/1.1 200 OK\r\n\r\n{}", "x".repeat(MAX_BODY))),
+        || Step::Dribble {
+            head: "HTTP/1.1 200 OK\r\n\r\n".into(),
+            pieces: 3,
+            interval: Duration::from_millis(1),
+        },
+    ] {
+        let upstream = Upstream::start(move |_| step());
+        let node = with(&[upstream.addr]);
+        let mut client = node.client();
+        for number in 0..20 {
+            assert_eq!(client.call(&pay(&format!("r{number}"), "400m")).status(), 502);
+        }
+        assert_eq!(upstream.count_new_requests(), 20);
+    }
+    let upstream = Upstream::start(move |_| Step::AnswerAndClose(format!("{head}{too_long}")));
+    assert_eq!(with(&[upstream.addr]).client().call(&pay("r1", "15000m")).status(), 502);
+}
+
+/// Guards against a wait for the end of a connection that takes all the time of a request that can be repeated.
+#[test]
+fn answer_without_a_length_that_never_ends_leaves_time_for_a_retry() {
+    let endless =
+        Upstream::start(|_| Step::Answer("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart".into()));
+    let sound = Upstream::start(|_| ok("whole"));
+    let node = with(&[endless.addr, sound.addr]);
+    let mut client = node.client();
+    for number in 0..10 {
+        let id = format!("k{number}");
+        let keyed =
+            pay(&id, "2000m").replace("Req-Kind: pay", &format!("Req-Kind: order\r\nIdempotency-Key: {id}"));
+        assert_eq!(client.call(&get(&format!("r{number}"), "2000m")).body, b"whole");
+        assert_eq!(client.call(&keyed).body, b"whole");
+    }
+    assert!(endless.count_new_requests() > 0, "the upstream is used");
+}
+
+/// Guards against a rejection that counts as a request that may have run, because it states no length.
+#[test]
+fn declined_request_is_retried_though_its_answer_has_no_length() {
+    let declined = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nConnection: close\r\n\r\nfull";
+    let is_first = Arc::new(AtomicBool::new(true));
+    let behaviour = move |_: &Message| match is_first.swap(false, Ordering::SeqCst) {
+        true => Step::AnswerAndClose(declined.into()),
+        false => ok("served"),
+    };
+    let (a, b) = (Upstream::start(behaviour.clone()), Upstream::start(behaviour));
+    let node = with(&[a.addr, b.addr]);
+    assert_eq!(node.client().call(&pay("r1", "15000m")).body, b"served");
+    assert_eq!(a.count_new_requests() + b.count_new_requests(), 2);
+}
+
 #[test]
 fn bytes_after_an_answer_do_not_answer_the_next_request() {
     let doubled = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none".repeat(2);
--- a/crates/verification/testkit/src/fastcgi.rs
+++ b/crates/verification/testkit/src/fastcgi.rs
@@ -70,6 +70,11 @@
 }
 
 impl Responder {
+    /// Stream of the connection.
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
     /// Serves this connection with up to `requests` concurrent requests.
     pub fn new(stream: Arc<TcpStream>, requests: usize) -> Responder {
         let limits = Limits { params: 1 << 20, body: 64 << 20, pairs: 1000, requests, ..Limits::default() };
--- a/crates/verification/testkit/src/upstream.rs
+++ b/crates/verification/testkit/src/upstream.rs
@@ -16,6 +16,8 @@
     Answer(String),
     /// Writes this answer and closes the connection.
     AnswerAndClose(String),
+    /// Writes this answer and resets the connection.
+    AnswerAndReset(String),
     /// Closes the connection without an answer.
     Close,
     /// Sends nothing until the other side closes.
@@ -45,7 +47,12 @@
     fn executes(&self) -> bool {
         match self {
             Step::Answer(text) | Step::AnswerAndClose(text) => !declines(text),
-            Step::Close | Step::Silent | Step::Hold(..) | Step::Work(..) | Step::Dribble { .. } => true,
+            Step::AnswerAndReset(_)
+            | Step::Close
+            | Step::Silent
+            | Step::Hold(..)
+            | Step::Work(..)
+            | Step::Dribble { .. } => true,
         }
     }
 }
@@ -259,7 +266,7 @@
         // Stops listening at once and wakes the accepting thread.
         let _ = socket2::SockRef::from(&*self.listener).shutdown(Shutdown::Both);
         for stream in lock(&self.shared.streams).drain(..).filter_map(|s| s.upgrade()) {
-            let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+            let _ = reset_on_close(&stream);
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -316,6 +323,12 @@
     fn read(&mut self, head: impl FnOnce(&Message)) -> Option<Message>;
     /// Writes an answer; `complete` states that nothing more follows.
     fn write(&mut self, text: &str, complete: bool) -> std::io::Result<()>;
+    /// Makes the connection end with a reset when it is closed.
+    fn reset_on_close(&self) -> std::io::Result<()>;
+}
+
+fn reset_on_close(stream: &TcpStream) -> std::io::Result<()> {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO))
 }
 
 struct Http(BufReader<HeldConnection>);
@@ -332,6 +345,10 @@
     fn write(&mut self, text: &str, _: bool) -> std::io::Result<()> {
         (&*self.0.get_ref().0).write_all(text.as_bytes())
     }
+
+    fn reset_on_close(&self) -> std::io::Result<()> {
+        reset_on_close(&self.0.get_ref().0)
+    }
 }
 
 fn serve(stream: Arc<TcpStream>, shared: &Arc<Shared>) {
@@ -355,6 +372,10 @@
     fn write(&mut self, text: &str, complete: bool) -> std::io::Result<()> {
         self.answer(text, complete)
     }
+
+    fn reset_on_close(&self) -> std::io::Result<()> {
+        reset_on_close(self.stream())
+    }
 }
 
 /// Reads the next request and records its begin in the ledger.
@@ -416,6 +437,10 @@
             let _ = peer.write(&text, false);
             return false;
         }
+        Step::AnswerAndReset(text) => {
+            let _ = peer.write(&text, false).and_then(|()| peer.reset_on_close());
+            return false;
+        }
         Step::Close => return false,
         Step::Dribble { head, pieces, interval } => return dribble(peer, &head, pieces, interval),
         Step::Silent | Step::Work(..) => {}
