Memory budget: count what clients hold beside bodies, in place of a worst case

And beside 300 clients of any kind ten sound ones were served nothing, since 217 clients were let in at 32 MB.

Cause: the budget gave each connection 48 KiB and counted bodies. Heads (held up to five times), 32 KiB read ahead, connections to upstreams and FastCGI params, bodies and outputs were not counted.

Evidence: memory for each of 600 clients without a limit: 17 KiB idle, 47 with part of a large head, 70 with large heads, 90 with bodies of 60 kB, 150 in the case.

Change: everything is counted while it is held. Connections and heads can't be refused and bound the number of clients, 385 for 32 MB. Requests find room while half of the limit is in use; one may take an eighth of what is free, so small ones find room beside large ones. Answers that state their length wait for room. The observer of a stream keeps the beginning of one line in place of the head; reads are shorter than the 8 KiB that make hyper double its buffers.

--- a/crates/data-plane/fastcgi/src/client.rs
+++ b/crates/data-plane/fastcgi/src/client.rs
@@ -82,6 +82,20 @@
         self.requests.len() < self.limits.requests.min(usize::from(u16::MAX))
     }
 
+    /// Number of bytes that are allocated for responses that have been received in part.
+    pub fn held_bytes(&self) -> usize {
+        self.requests.values().map(|request| request.stdout.capacity()).sum()
+    }
+
+    /// Drops the partly received response that holds the most memory; its request ends without a usable one.
+    pub fn discard_largest(&mut self) {
+        let largest = self.requests.values_mut().max_by_key(|request| request.stdout.capacity());
+        if let Some(request) = largest {
+            (request.unusable_reason, request.stdout) =
+                (Some("there is no memory for the response"), BytesMut::new());
+        }
+    }
+
     /// Whether a record has been received in part.
     pub fn is_mid_record(&self) -> bool {
         self.decoder.is_mid_record()
--- a/crates/data-plane/fastcgi/src/pairs.rs
+++ b/crates/data-plane/fastcgi/src/pairs.rs
@@ -59,6 +59,12 @@
     Ok(pairs)
 }
 
+/// Number of bytes that decoded pairs hold.
+pub fn held_bytes(pairs: &[Pair]) -> usize {
+    let text: usize = pairs.iter().map(|(name, value)| name.len() + value.len()).sum();
+    text + std::mem::size_of_val(pairs)
+}
+
 /// Encodes one pair. A pair with a name or value of 2 GiB or more can't be encoded and is left out.
 pub fn write(out: &mut BytesMut, name: &[u8], value: &[u8]) {
     let fits = |n: usize| n < 1 << 31;
--- a/crates/data-plane/fastcgi/src/server.rs
+++ b/crates/data-plane/fastcgi/src/server.rs
@@ -44,6 +44,17 @@
     Answered,
 }
 
+impl Stage {
+    /// Number of bytes that are allocated for what has been received.
+    fn held_bytes(&self) -> usize {
+        match self {
+            Stage::Params(params) => params.capacity(),
+            Stage::Body(params, body) => pairs::held_bytes(params) + body.capacity(),
+            Stage::Reported | Stage::Answered => 0,
+        }
+    }
+}
+
 struct OpenRequest {
     keep_connection: bool,
     stage: Stage,
@@ -91,6 +102,24 @@
                 .any(|request| matches!(request.stage, Stage::Params(_) | Stage::Body(..)))
     }
 
+    /// Number of bytes that are allocated for requests that have been received in part.
+    pub fn held_bytes(&self) -> usize {
+        self.requests.values().map(|request| request.stage.held_bytes()).sum()
+    }
+
+    /// Number of bytes that are allocated for the largest of these requests.
+    pub fn largest_held_bytes(&self) -> usize {
+        self.requests.values().map(|request| request.stage.held_bytes()).max().unwrap_or(0)
+    }
+
+    /// Reports the partly received request that holds the most memory as invalid, and drops what was received of it.
+    pub fn reject_largest(&mut self, status: u16, reason: &'static str, events: &mut Vec<Event>) {
+        let largest = self.requests.iter().max_by_key(|(_, request)| request.stage.held_bytes());
+        if let Some(id) = largest.filter(|(_, request)| request.stage.held_bytes() > 0).map(|(&id, _)| id) {
+            self.reject(id, status, reason, events);
+        }
+    }
+
     /// Whether the connection is to be closed: a request without the flag to keep the connection was received, no request
     /// is open, and everything is written.
     pub fn closes(&self) -> bool {
--- a/crates/herondock/src/front/fastcgi/admission.rs
+++ b/crates/herondock/src/front/fastcgi/admission.rs
@@ -5,6 +5,7 @@
 use crate::exchange::{CarriedBudget, Method, Request};
 use crate::front::classify::{classify, Classification, RequestField, RequestHead};
 use crate::http::{DECLINED, RETRY};
+use crate::memory_budget::{Purpose, Reservation, FIELD_BYTES, HEAD_COPIES, REQUEST_BYTES};
 use crate::request_budgets::FrontKind;
 use crate::routing::request_attributes::{RequestAttributes, RoutingError};
 use crate::routing::AdmittedRequest;
@@ -24,6 +25,8 @@
     pub(super) request: AdmittedRequest,
     /// Whether the request arrived with a budget.
     pub(super) reports_usage: bool,
+    /// Memory of the request.
+    pub(super) _memory: Reservation,
 }
 
 /// Answer to a request that is not admitted.
@@ -57,6 +60,12 @@
         let Classification { class, tenant, deadline_ms: timeout_ms, method } =
             self.classify(request, limits.request_id)?;
         check_body(request, method)?;
+        let mut memory = self.memory.reservation(Purpose::Request);
+        let params = request.params.iter().map(|(name, value)| name.len() + value.len() + FIELD_BYTES);
+        let params_bytes: usize = params.sum();
+        if !memory.grow_to(REQUEST_BYTES + HEAD_COPIES * params_bytes + request.body.len()) {
+            return Err(self.refusal(Some(limits.full_pause), "there is no memory left for the request"));
+        }
         let target = target(&param).ok_or_else(|| Rejection::bad_request("REQUEST_URI is bad"))?;
         let budget = self.carried_budget(request, timeout_ms)?;
         let reports_usage = budget.as_ref().is_some_and(|carried| carried.budget.reports_usage);
@@ -78,7 +87,7 @@
             headers: &headers,
         };
         match self.pools.admit(&attributes, class, tenant, timeout_ms, upstream_request) {
-            Ok(request) => Ok(Admitted { request, reports_usage }),
+            Ok(request) => Ok(Admitted { request, reports_usage, _memory: memory }),
             Err(error) => Err(self.routing_rejection(error, limits.full_pause)),
         }
     }
@@ -153,14 +162,19 @@
         declined.into_iter().chain(used).collect()
     }
 
-    /// Returns the answer to a request that the pools did not admit. `full_pause`: advised delay before a retry if
-    /// too many requests are open.
-    fn routing_rejection(&self, error: RoutingError, full_pause: Duration) -> Rejection {
-        let reject = |pause: Option<Duration>, reason: &str| Rejection {
+    /// Returns the answer to a request that is refused before anything ran. `pause`: advised delay before a retry.
+    fn refusal(&self, pause: Option<Duration>, reason: &str) -> Rejection {
+        Rejection {
             retry_after: pause.map(|pause| pause.as_secs_f64() * 1000.0),
             fields: self.budget_fields(None, true),
             ..Rejection::input(503, reason)
-        };
+        }
+    }
+
+    /// Returns the answer to a request that the pools did not admit. `full_pause`: advised delay before a retry if
+    /// too many requests are open.
+    fn routing_rejection(&self, error: RoutingError, full_pause: Duration) -> Rejection {
+        let reject = |pause: Option<Duration>, reason: &str| self.refusal(pause, reason);
         match error {
             RoutingError::NotAdmitted(AdmissionError::TooManyOpen) => reject(Some(full_pause), ""),
             RoutingError::NotAdmitted(AdmissionError::DuplicateId) => {
--- a/crates/herondock/src/front/fastcgi/connection.rs
+++ b/crates/herondock/src/front/fastcgi/connection.rs
@@ -5,6 +5,7 @@
 use super::FastCgiFront;
 use crate::exchange::{Answer, Fields, FinalAnswer};
 use crate::front::{ShutdownPhase, ShutdownProgress};
+use crate::memory_budget::{Purpose, Reservation};
 use bytes::{Buf, Bytes, BytesMut};
 use config::operator::Limits;
 use fastcgi::server::{Event, Request, Server as Protocol};
@@ -30,6 +31,8 @@
     requests: OpenRequests,
     answers: mpsc::Sender<ReadyAnswer>,
     limits: Rc<Limits>,
+    /// Memory of requests that have been received in part.
+    memory: Reservation,
     /// Time since which the front waits for the client.
     waiting_since: Instant,
     /// Whether the connection has carried no request; a shutdown does not shorten the time that such a connection has
@@ -57,8 +60,10 @@
             requests: front.settings.requests,
             ..ProtocolLimits::default()
         });
+        let memory = front.memory.reservation(Purpose::Request);
         Connection {
             front,
+            memory,
             protocol,
             requests: OpenRequests::default(),
             answers,
@@ -174,6 +179,7 @@
     fn receive(&mut self, bytes: Bytes) -> Result<(), fastcgi::Error> {
         let mut events = Vec::new();
         let received = self.protocol.receive(bytes, &mut events);
+        self.count_memory(&mut events);
         for event in events {
             self.handle(event);
         }
@@ -181,6 +187,16 @@
     }
 }
 
+impl Connection {
+    /// Counts the memory of requests that have been received in part, and refuses the largest one if there is no room.
+    fn count_memory(&mut self, events: &mut Vec<Event>) {
+        if !self.memory.grow_to_sum(self.protocol.held_bytes(), self.protocol.largest_held_bytes()) {
+            self.protocol.reject_largest(503, "there is no memory left for the request", events);
+        }
+        self.memory.charge_to(self.protocol.held_bytes());
+    }
+}
+
 impl FastCgiFront {
     /// Serves a connection until it ends.
     pub(super) async fn serve(self: Rc<FastCgiFront>, stream: impl AsyncRead + AsyncWrite + Unpin) {
--- a/crates/herondock/src/front/fastcgi/mod.rs
+++ b/crates/herondock/src/front/fastcgi/mod.rs
@@ -24,6 +24,7 @@
 use super::{ShutdownPhase, ShutdownProgress};
 use crate::descriptor_budget::DescriptorBudget;
 use crate::live_config::LiveConfig;
+use crate::memory_budget::{MemoryBudget, CONNECTION_BYTES};
 use crate::request_budgets::BudgetPolicy;
 use crate::routing::Pools;
 use config::fastcgi::FastCgi;
@@ -63,6 +64,8 @@
     pub budgets: Option<Rc<BudgetPolicy>>,
     /// Listeners to accept on.
     pub listeners: Vec<FrontListener>,
+    /// Budget of the process's memory.
+    pub memory: MemoryBudget,
 }
 
 /// The FastCGI front.
@@ -74,6 +77,7 @@
     limits: LiveConfig<Limits>,
     shutdown: watch::Receiver<ShutdownProgress>,
     budgets: Option<Rc<BudgetPolicy>>,
+    memory: MemoryBudget,
     /// Listeners that are passed on to a successor; connections are accepted on clones of them.
     listeners: RefCell<Vec<FrontListener>>,
 }
@@ -89,6 +93,7 @@
             limits: config.limits,
             shutdown: config.shutdown,
             budgets: config.budgets,
+            memory: config.memory,
             listeners: RefCell::new(config.listeners),
         })
     }
@@ -171,6 +176,7 @@
             // A connection that gets no descriptor within the timeout for a request is closed.
             let wait = front.limits.get().request_wait;
             if let Ok(Some(_permit)) = timeout(wait, front.descriptors.acquire_caller()).await {
+                let _memory = front.memory.charge(CONNECTION_BYTES);
                 front.serve(stream).await;
             }
         });
--- a/crates/herondock/src/front/http/admission.rs
+++ b/crates/herondock/src/front/http/admission.rs
@@ -6,7 +6,7 @@
 use crate::front::classify::{classify, Classification, RequestField, RequestHead, KEY};
 use crate::front::read_ahead::Presence;
 use crate::http::{end_to_end_fields, DEADLINE, DECLINED, RETRY};
-use crate::memory_budget::Purpose;
+use crate::memory_budget::{Purpose, Reservation, FIELD_BYTES, HEAD_COPIES, REQUEST_BYTES};
 use crate::message_body::{self, BodyError};
 use crate::request_budgets::FrontKind;
 use crate::routing::request_attributes::{RequestAttributes, RoutingError};
@@ -36,6 +36,8 @@
     pub(super) request: AdmittedRequest,
     /// Whether the request arrived with a budget.
     pub(super) reports_usage: bool,
+    /// Memory of the request beside its body.
+    pub(super) memory: Reservation,
 }
 
 /// Response to a request that is not admitted.
@@ -54,20 +56,25 @@
         let (head, body) = request.into_parts();
         let limits = self.limits.get();
         let classification = self.classify(&head, limits.request_id)?;
-        // Precedes reading the body, so that a rejected request is answered immediately.
+        // Both precede reading the body, so that a rejected request is answered immediately.
+        let body_not_read = |mut response: Rejection| {
+            if !body.is_end_stream() {
+                response.extensions_mut().insert(BodyNotRead);
+            }
+            response
+        };
         let mut budget =
-            self.carried_budget(&head.headers, classification.deadline_ms).map_err(|mut response| {
-                if !body.is_end_stream() {
-                    response.extensions_mut().insert(BodyNotRead);
-                }
-                response
-            })?;
+            self.carried_budget(&head.headers, classification.deadline_ms).map_err(body_not_read)?;
+        let head_memory = HEAD_COPIES * head_bytes(&head);
+        let mut memory = self.memory.reservation(Purpose::Request);
+        self.reserve(&mut memory, head_memory, limits.full_pause).map_err(body_not_read)?;
         let body = self.read_body(body, classification.method, body_due, &limits).await?;
         let presence = client.read_ahead.presence();
         if presence != Presence::Connected {
             debug!("request {number} of {}: refused, its client is {presence:?}", client.peer);
             return Err(Box::new(self.refusal(limits.full_pause, "more was sent than is read ahead")));
         }
+        self.reserve(&mut memory, head_memory + REQUEST_BYTES, limits.full_pause)?;
         // The time that the request waited behind others of its connection is part of the client's deadline.
         let waited =
             activity.completed_at(number).map_or(Duration::ZERO, |completed_at| completed_at.elapsed());
@@ -98,7 +105,7 @@
             headers: &|name| head.headers.get_all(name).iter().map(HeaderValue::as_bytes).collect(),
         };
         match self.pools.admit(&attributes, class, tenant, timeout_ms, request) {
-            Ok(request) => Ok(Admitted { request, reports_usage }),
+            Ok(request) => Ok(Admitted { request, reports_usage, memory }),
             Err(error) => Err(Box::new(self.routing_rejection(error, limits.full_pause))),
         }
     }
@@ -171,6 +178,14 @@
         response
     }
 
+    /// Grows the reservation of a request to this number of bytes, or returns the response to a request that is refused.
+    fn reserve(&self, memory: &mut Reservation, bytes: usize, pause: Duration) -> Result<(), Rejection> {
+        if memory.grow_to(bytes) {
+            return Ok(());
+        }
+        Err(Box::new(self.refusal(pause, "there is no memory left for the request")))
+    }
+
     /// Reads the complete body, which is limited in size and has to be complete at `due`.
     async fn read_body(
         &self,
@@ -249,6 +264,12 @@
     }
 }
 
+/// Size of a head, in bytes, as far as its memory is concerned.
+fn head_bytes(head: &Parts) -> usize {
+    let fields = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + FIELD_BYTES);
+    target(head).len() + fields.sum::<usize>()
+}
+
 /// Path and query of a request.
 fn target(head: &Parts) -> &str {
     head.uri.path_and_query().map_or("/", |target| target.as_str())
--- a/crates/herondock/src/front/http/mod.rs
+++ b/crates/herondock/src/front/http/mod.rs
@@ -12,12 +12,12 @@
 mod response;
 
 use super::observed_stream::{ConnectionActivity, ObservedStream};
-use super::read_ahead::ReadAhead;
+use super::read_ahead::{ReadAhead, READ_BYTES};
 use super::{ShutdownPhase, ShutdownProgress};
 use crate::descriptor_budget::{CallerPermit, DescriptorBudget};
 use crate::exchange::{Answer, FinalAnswer};
 use crate::live_config::LiveConfig;
-use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::{MemoryBudget, Reservation, CONNECTION_BYTES};
 use crate::request_budgets::BudgetPolicy;
 use crate::request_counters::{CloseReason, RequestCounters};
 use crate::routing::Pools;
@@ -104,6 +104,13 @@
     idle_slot: Cell<Option<IdleSlot>>,
     /// Whether the last response on the connection rejected invalid input.
     rejected_input: Cell<bool>,
+    /// Memory of the connection while it is idle.
+    _memory: Reservation,
+}
+
+/// Maximum number of clients whose connections stay within the memory budget.
+pub fn max_clients(memory: &MemoryBudget, limits: &Limits) -> usize {
+    memory.max_clients(limits.head, READ_BYTES)
 }
 
 impl HttpFront {
@@ -194,11 +201,12 @@
         Rc::new(ClientConnection {
             peer,
             activity: ConnectionActivity::new(),
-            read_ahead: Rc::new(ReadAhead::new(stream.clone())),
+            read_ahead: Rc::new(ReadAhead::new(stream.clone(), self.memory.charge(0))),
             stream,
             evicted,
             idle_slot,
             rejected_input: Cell::new(false),
+            _memory: self.memory.charge(CONNECTION_BYTES),
         })
     }
 
@@ -235,6 +243,7 @@
             client.read_ahead.clone(),
             client.activity.clone(),
             max_head_bytes,
+            self.memory.charge(0),
         );
         let connection = http1::Builder::new()
             .max_buf_size(max_head_bytes)
@@ -313,10 +322,11 @@
     /// Admits a request to the pools and waits for its final answer.
     async fn forward(&self, request: hyper::Request<Incoming>, client: &ClientConnection) -> Response {
         let body_due = client.activity.waiting_since.get() + self.limits.get().request_wait;
-        let Admitted { request, reports_usage } = match self.admit(request, body_due, client).await {
-            Ok(admitted) => admitted,
-            Err(rejection) => return *rejection,
-        };
+        let Admitted { request, reports_usage, memory: _memory } =
+            match self.admit(request, body_due, client).await {
+                Ok(admitted) => admitted,
+                Err(rejection) => return *rejection,
+            };
         let FinalAnswer { answer, may_have_run, used } = request.answer().await;
         let nothing_ran = matches!(answer, Answer::Rejected { .. }) && !may_have_run;
         let mut response = final_answer(answer);
--- a/crates/herondock/src/front/mod.rs
+++ b/crates/herondock/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! Fronts: accept connections of clients, one front for each protocol.
 mod classify;
 pub mod fastcgi;
+mod head_framing;
 pub mod http;
 mod observed_stream;
 mod read_ahead;
--- a/crates/herondock/src/front/observed_stream.rs
+++ b/crates/herondock/src/front/observed_stream.rs
@@ -1,6 +1,8 @@
 //! Observes the bytes of a client before hyper parses them: hyper drops `Content-Length` if there is a
 //! `Transfer-Encoding`, and does not report a partial head.
+use super::head_framing::{BodyFraming, HeadFraming};
 use super::read_ahead::ReadAhead;
+use crate::memory_budget::{Reservation, PARTIAL_HEAD_COPIES};
 use crate::stream::SharedStream;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -11,8 +13,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Instant;
 
-/// Capacity for a typical head, which each connection keeps allocated.
-const TYPICAL_HEAD_BYTES: usize = 512;
+/// Size of a typical head, in bytes, for which the memory of an idle connection suffices.
+const TYPICAL_HEAD_BYTES: usize = 4 << 10;
 
 /// Activity of the client that has been observed on a connection.
 pub struct ConnectionActivity {
@@ -92,7 +94,10 @@
     /// Bytes that were read before the protocol library asked for them.
     read_ahead: Rc<ReadAhead>,
     activity: Rc<ConnectionActivity>,
-    head: Vec<u8>,
+    /// The head that is being received.
+    head: HeadFraming,
+    /// Memory of that head.
+    head_memory: Reservation,
     /// Maximum size of a head; hyper rejects larger ones.
     max_head_bytes: usize,
     position: FramePosition,
@@ -100,18 +105,21 @@
 
 impl ObservedStream {
     /// Observes a new stream, whose heads have at most `max_bytes` bytes, and records its activity in `record`.
-    /// `read_ahead` has bytes of the stream that were read before.
+    /// `read_ahead` has bytes of the stream that were read before. The memory of a head is counted in `head_memory` while it
+    /// arrives.
     pub fn new(
         stream: SharedStream,
         read_ahead: Rc<ReadAhead>,
         record: Rc<ConnectionActivity>,
         max_bytes: usize,
+        head_memory: Reservation,
     ) -> ObservedStream {
         ObservedStream {
             stream,
             read_ahead,
             activity: record,
-            head: Vec::new(),
+            head: HeadFraming::default(),
+            head_memory,
             max_head_bytes: max_bytes,
             position: FramePosition::Head,
         }
@@ -134,7 +142,15 @@
                 FramePosition::Head => bytes = self.observe_head(bytes, read_at),
             }
         }
-        self.activity.partial_head.set(!self.head.is_empty());
+        self.activity.partial_head.set(self.head.received() > 0);
+        self.count_memory();
+    }
+
+    /// Counts the memory of a head that has been received in part.
+    fn count_memory(&mut self) {
+        let received = self.head.received();
+        let counted = if received <= TYPICAL_HEAD_BYTES { 0 } else { PARTIAL_HEAD_COPIES * received };
+        self.head_memory.charge_to(counted);
     }
 
     /// Records that the last byte of a request has been read.
@@ -145,7 +161,7 @@
 
     /// Observes bytes of a head and returns the bytes after it.
     fn observe_head<'a>(&mut self, mut bytes: &'a [u8], read_at: Instant) -> &'a [u8] {
-        if self.head.is_empty() {
+        if self.head.received() == 0 {
             // Empty lines before a request are allowed.
             let blank = bytes.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
             bytes = &bytes[blank..];
@@ -156,60 +172,35 @@
                 }
             }
         }
-        if self.head.capacity() == 0 && !bytes.is_empty() {
-            self.head.reserve(TYPICAL_HEAD_BYTES);
-        }
-        while let Some(end) = bytes.iter().position(|&b| b == b'\n') {
-            let (line, rest) = bytes.split_at(end + 1);
-            self.head.extend_from_slice(line);
+        while !bytes.is_empty() {
+            let end = bytes.iter().position(|&b| b == b'\n').map_or(bytes.len(), |position| position + 1);
+            let (line, rest) = bytes.split_at(end);
             bytes = rest;
-            if self.head.ends_with(b"\n\r\n") || self.head.ends_with(b"\n\n") {
-                self.activity.heads_read.set(self.activity.heads_read.get() + 1);
-                self.position = match framing(&self.head) {
-                    Ok(FramePosition::Body(0)) => self.complete_request(read_at),
-                    Ok(position) => position,
-                    Err(AmbiguousLength) => {
-                        self.activity.ambiguous_head.set(Some(self.activity.heads_read.get()));
-                        FramePosition::Untracked
-                    }
-                };
-                // The buffer is kept for the next head, unless this head was large.
-                self.head.clear();
-                self.head.shrink_to(TYPICAL_HEAD_BYTES);
+            if let Some(framing) = self.head.receive(line) {
+                self.complete_head(framing, read_at);
                 return bytes;
             }
         }
-        self.head.extend_from_slice(bytes);
-        if self.head.len() > self.max_head_bytes {
-            (self.head, self.position) = (Vec::new(), FramePosition::Untracked);
+        if self.head.received() > self.max_head_bytes {
+            (self.head, self.position) = (HeadFraming::default(), FramePosition::Untracked);
         }
         &[]
     }
-}
-
-/// Error: a head states the length of its body more than once.
-struct AmbiguousLength;
 
-/// Returns the position that follows a head.
-fn framing(head: &[u8]) -> Result<FramePosition, AmbiguousLength> {
-    let (mut lengths, mut codings) = (0, 0);
-    let mut length = Some(0);
-    for line in head.split(|&b| b == b'\n') {
-        let mut parts = line.splitn(2, |&b| b == b':');
-        let (Some(name), Some(value)) = (parts.next(), parts.next()) else { continue };
-        let name = name.trim_ascii();
-        if name.eq_ignore_ascii_case(b"content-length") {
-            lengths += 1;
-            let value = std::str::from_utf8(value.trim_ascii()).ok();
-            length = value.filter(|v| v.bytes().all(|b| b.is_ascii_digit())).and_then(|v| v.parse().ok());
-        } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
-            codings += 1;
-        }
-    }
-    match (lengths, codings) {
-        (0 | 1, 0) => Ok(length.map_or(FramePosition::Untracked, FramePosition::Body)),
-        (0, 1) => Ok(FramePosition::Untracked),
-        _ => Err(AmbiguousLength),
+    /// Records that a head has been read completely.
+    fn complete_head(&mut self, framing: BodyFraming, read_at: Instant) {
+        self.head = HeadFraming::default();
+        let number = self.activity.heads_read.get() + 1;
+        self.activity.heads_read.set(number);
+        self.position = match framing {
+            BodyFraming::Length(0) => self.complete_request(read_at),
+            BodyFraming::Length(length) => FramePosition::Body(length),
+            BodyFraming::Untracked => FramePosition::Untracked,
+            BodyFraming::Ambiguous => {
+                self.activity.ambiguous_head.set(Some(number));
+                FramePosition::Untracked
+            }
+        };
     }
 }
 
@@ -257,6 +248,3 @@
         self.stream.is_write_vectored()
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/herondock/src/message_body.rs
+++ b/crates/herondock/src/message_body.rs
@@ -24,6 +24,27 @@
     Broken(E),
 }
 
+/// Reads the complete body of an answer, of at most `max_bytes` bytes, whose memory is counted in `memory` until the
+/// returned bytes are dropped. An answer that states its length is not read before there is room for all of it: its request
+/// has run, so that it can't be refused any more.
+///
+/// # Errors
+/// The body is larger, it does not arrive completely, or there is no memory left for it.
+pub async fn read_answer<B>(
+    body: B,
+    max_bytes: usize,
+    mut memory: Reservation,
+) -> Result<Bytes, BodyError<B::Error>>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let stated = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    if let Some(length) = stated.filter(|&length| length <= max_bytes) {
+        memory.wait_to_grow_to(length).await;
+    }
+    read_body(body, stated.map_or(max_bytes, |length| length.min(max_bytes)), Some(memory)).await
+}
+
 /// Reads the complete body, of at most `max_bytes` bytes. Dropping the future drops what has been read. The memory of the
 /// body is counted in `reservation`, where there is one, until the returned bytes are dropped.
 ///
@@ -50,6 +71,22 @@
     Ok(if buffer.bytes.is_empty() { Bytes::new() } else { Bytes::from_owner(buffer) })
 }
 
+/// Bytes whose memory is counted in `reservation` until they are dropped.
+pub fn reserved(bytes: Bytes, reservation: Reservation) -> Bytes {
+    Bytes::from_owner(ReservedBytes { bytes, _reservation: reservation })
+}
+
+struct ReservedBytes {
+    bytes: Bytes,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for ReservedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// A body that is being received. Its capacity is at most twice its length, and at most the limit.
 struct BodyBuffer {
     bytes: Vec<u8>,
--- a/crates/herondock/src/run/mod.rs
+++ b/crates/herondock/src/run/mod.rs
@@ -22,7 +22,7 @@
 use crate::endpoint_sources::cache;
 use crate::endpoint_sources::registration::Registrations;
 use crate::endpoint_sources::sources::Sources;
-use crate::front::{fastcgi, ShutdownProgress};
+use crate::front::{fastcgi, http, ShutdownProgress};
 use crate::listener_handoff::transferred_state::TransferredState;
 use crate::live_config::LiveConfig;
 use crate::memory_budget::MemoryBudget;
@@ -116,7 +116,7 @@
         seed,
         deployment,
         limits: LiveConfig::new(operator.limits.clone()),
-        descriptors: DescriptorBudget::new(max_descriptors, memory.max_clients(operator.limits.head)),
+        descriptors: DescriptorBudget::new(max_descriptors, http::max_clients(&memory, &operator.limits)),
         memory,
         counters: Rc::new(RequestCounters::default()),
         budgets,
--- a/crates/herondock/src/run/wiring.rs
+++ b/crates/herondock/src/run/wiring.rs
@@ -183,6 +183,7 @@
             shutdown: self.shutdown.clone(),
             budgets: self.budgets.clone(),
             listeners,
+            memory: self.memory.clone(),
         })
     }
 }
--- a/crates/herondock/src/stream.rs
+++ b/crates/herondock/src/stream.rs
@@ -9,6 +9,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Maximum number of bytes of one read. hyper doubles the read buffer of a connection, and keeps it, after a read that fills
+/// its initial 8 KiB.
+const MAX_READ_BYTES: usize = (8 << 10) - 1;
+
 /// A TCP stream with several owners; closed when the last owner drops it.
 #[derive(Clone)]
 pub struct SharedStream(Rc<TcpStream>);
@@ -49,7 +53,8 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
             ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buf.initialize_unfilled()) {
+            let length = buf.remaining().min(MAX_READ_BYTES);
+            match self.0.try_read(buf.initialize_unfilled_to(length)) {
                 Ok(n) => {
                     buf.advance(n);
                     return Poll::Ready(Ok(()));
--- a/crates/herondock/src/transport/fastcgi/connection.rs
+++ b/crates/herondock/src/transport/fastcgi/connection.rs
@@ -1,4 +1,5 @@
 //! A connection to a FastCGI application: the protocol state and the socket.
+use crate::memory_budget::Reservation;
 use crate::stream::SharedStream;
 use bytes::{Buf, BytesMut};
 use fastcgi::client::{Client, Event};
@@ -24,6 +25,8 @@
     /// Protocol state.
     pub client: Client,
     buffer: BytesMut,
+    /// Memory of responses that have been received in part.
+    memory: Reservation,
     /// The peer accepts no more bytes.
     write_closed: bool,
     /// No more bytes can be read.
@@ -31,9 +34,10 @@
 }
 
 impl FastCgiConnection {
-    /// Creates the state of a new connection.
-    pub fn new(socket: SharedStream, client: Client) -> FastCgiConnection {
-        FastCgiConnection { socket, client, buffer: BytesMut::new(), write_closed: false, read_closed: false }
+    /// Creates the state of a new connection, whose responses are counted in `memory` until they are complete.
+    pub fn new(socket: SharedStream, client: Client, memory: Reservation) -> FastCgiConnection {
+        let buffer = BytesMut::new();
+        FastCgiConnection { socket, client, buffer, memory, write_closed: false, read_closed: false }
     }
 
     /// Whether it is idle and can carry a request now.
@@ -79,12 +83,21 @@
                 Poll::Ready(Ok(n)) if n > 0 => {
                     // Events before a fault are valid and are returned first.
                     self.read_closed = self.client.receive(self.buffer.split().freeze(), events).is_err();
+                    self.count_memory();
                 }
                 Poll::Ready(_) => self.read_closed = true,
             }
         }
     }
 
+    /// Counts the memory of responses, and drops the largest one if there is no room.
+    fn count_memory(&mut self) {
+        if !self.memory.grow_to(self.client.held_bytes()) {
+            self.client.discard_largest();
+        }
+        self.memory.charge_to(self.client.held_bytes());
+    }
+
     /// Writes pending output. A write error does not end the connection: the application may have sent an answer
     /// before, for instance that it is overloaded.
     fn write(
--- a/crates/herondock/src/transport/fastcgi/exclusive.rs
+++ b/crates/herondock/src/transport/fastcgi/exclusive.rs
@@ -2,6 +2,7 @@
 use super::connection::{ConnectionClosed, FastCgiConnection};
 use super::{begin_request, new_client, Conn, FastCgi};
 use crate::exchange::Attempt;
+use crate::memory_budget::Purpose;
 use crate::transport::connection_pool::{DialedConnection, Peer};
 use balancer::AttemptOutcome;
 use fastcgi::client::{Event, Outcome};
@@ -26,8 +27,9 @@
         deadline: Instant,
     ) -> Result<ExclusiveConnection, AttemptOutcome> {
         let DialedConnection { socket, generation, permit, established_at } = peer.dial(deadline).await?;
+        let memory = peer.settings.memory.reservation(Purpose::Answer);
         Ok(ExclusiveConnection {
-            connection: FastCgiConnection::new(socket, new_client(peer)),
+            connection: FastCgiConnection::new(socket, new_client(peer), memory),
             generation,
             permit,
             established_at,
--- a/crates/herondock/src/transport/fastcgi/mod.rs
+++ b/crates/herondock/src/transport/fastcgi/mod.rs
@@ -32,6 +32,8 @@
 use super::connection_pool::{ConnectionSettings, Peer, PooledConnection, UpstreamProtocol};
 use crate::exchange::{Answer, Attempt, AttemptResult, Fields, Method, Request, Upstream};
 use crate::http::{is_hop_by_hop, DEADLINE};
+use crate::memory_budget::Purpose;
+use crate::message_body::reserved;
 use balancer::AttemptOutcome;
 use bytes::Bytes;
 use capabilities::CapabilityCache;
@@ -118,7 +120,11 @@
                 let is = |name: &str, field: &[u8]| field.eq_ignore_ascii_case(name.as_bytes());
                 attempt
                     .record_usage(|name| head.fields.iter().find(|(n, _)| is(name, n)).map(|(_, v)| &v[..]));
-                interpret_answer(&head, body, attempt.used_field())
+                let mut memory = peer.settings.memory.reservation(Purpose::Answer);
+                if !memory.grow_to(body.len()) {
+                    return (AttemptOutcome::Reset, None);
+                }
+                interpret_answer(&head, reserved(body, memory), attempt.used_field())
             }
             Ok(Outcome::Refused(_)) => (AttemptOutcome::Declined, None),
             Ok(Outcome::Useless(..)) => (AttemptOutcome::Error, None),
--- a/crates/herondock/src/transport/http.rs
+++ b/crates/herondock/src/transport/http.rs
@@ -3,7 +3,7 @@
 use crate::exchange::{Answer, Attempt, AttemptResult};
 use crate::http::{end_to_end_fields, to_headers, to_method, DEADLINE, DECLINED};
 use crate::memory_budget::Purpose;
-use crate::message_body::{read_body, BodyError};
+use crate::message_body::{read_answer, BodyError};
 use crate::stream::SharedStream;
 use balancer::AttemptOutcome;
 use bytes::Bytes;
@@ -116,7 +116,7 @@
         let ending = ending_of(&answer);
         let (head, body) = answer.into_parts();
         let reservation = peer.settings.memory.reservation(Purpose::Answer);
-        let reading = read_body(body, max_body, Some(reservation));
+        let reading = read_answer(body, max_body, reservation);
         let body = match timeout_at(framing.deadline(&attempt, Instant::now()), reading).await {
             Ok(Ok(body)) => body,
             Ok(Err(BodyError::Broken(_))) => {
--- a/crates/verification/testkit/src/node.rs
+++ b/crates/verification/testkit/src/node.rs
@@ -152,9 +152,19 @@
 
     /// Peak resident memory of the process so far, in bytes.
     pub fn peak_memory(&self) -> u64 {
+        self.memory_status("VmHWM:")
+    }
+
+    /// Resident memory of the process without the pages of mapped files, in bytes.
+    pub fn own_memory(&self) -> u64 {
+        self.memory_status("RssAnon:") + self.memory_status("RssShmem:")
+    }
+
+    /// A line of the process's status, in bytes.
+    fn memory_status(&self, name: &str) -> u64 {
         let path = format!("/proc/{}/status", self.process.pid());
         let status = std::fs::read_to_string(path).expect("the status of a running process");
-        let kibibytes = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"));
+        let kibibytes = status.lines().find_map(|line| line.strip_prefix(name)?.strip_suffix("kB"));
         kibibytes.and_then(|number| number.trim().parse::<u64>().ok()).expect("a number of kB") << 10
     }
 
