HTTP upstreams: attempts with a stated length end by the driver's timer alone, as before

Read again, the wait for an answer without a length had put a second timer on all answers, at the same moment as the driver's own: an attempt that timed out could count as reset in place of timed out.

--- a/crates/data-plane/fastcgi/src/client.rs
+++ b/crates/data-plane/fastcgi/src/client.rs
@@ -83,7 +83,7 @@
     }
 
     /// Number of bytes that are allocated for responses that have been received in part.
-    pub fn held_bytes(&self) -> usize {
+    pub fn buffered_bytes(&self) -> usize {
         self.requests.values().map(|request| request.stdout.capacity()).sum()
     }
 
--- a/crates/data-plane/fastcgi/src/pairs.rs
+++ b/crates/data-plane/fastcgi/src/pairs.rs
@@ -60,7 +60,7 @@
 }
 
 /// Number of bytes that decoded pairs hold.
-pub fn held_bytes(pairs: &[Pair]) -> usize {
+pub fn buffered_bytes(pairs: &[Pair]) -> usize {
     let text: usize = pairs.iter().map(|(name, value)| name.len() + value.len()).sum();
     text + std::mem::size_of_val(pairs)
 }
--- a/crates/data-plane/fastcgi/src/server.rs
+++ b/crates/data-plane/fastcgi/src/server.rs
@@ -46,10 +46,10 @@
 
 impl Stage {
     /// Number of bytes that are allocated for what has been received.
-    fn held_bytes(&self) -> usize {
+    fn buffered_bytes(&self) -> usize {
         match self {
             Stage::Params(params) => params.capacity(),
-            Stage::Body(params, body) => pairs::held_bytes(params) + body.capacity(),
+            Stage::Body(params, body) => pairs::buffered_bytes(params) + body.capacity(),
             Stage::Reported | Stage::Answered => 0,
         }
     }
@@ -103,19 +103,20 @@
     }
 
     /// Number of bytes that are allocated for requests that have been received in part.
-    pub fn held_bytes(&self) -> usize {
-        self.requests.values().map(|request| request.stage.held_bytes()).sum()
+    pub fn buffered_bytes(&self) -> usize {
+        self.requests.values().map(|request| request.stage.buffered_bytes()).sum()
     }
 
     /// Number of bytes that are allocated for the largest of these requests.
-    pub fn largest_held_bytes(&self) -> usize {
-        self.requests.values().map(|request| request.stage.held_bytes()).max().unwrap_or(0)
+    pub fn largest_buffered_bytes(&self) -> usize {
+        self.requests.values().map(|request| request.stage.buffered_bytes()).max().unwrap_or(0)
     }
 
     /// Reports the partly received request that holds the most memory as invalid, and drops what was received of it.
     pub fn reject_largest(&mut self, status: u16, reason: &'static str, events: &mut Vec<Event>) {
-        let largest = self.requests.iter().max_by_key(|(_, request)| request.stage.held_bytes());
-        if let Some(id) = largest.filter(|(_, request)| request.stage.held_bytes() > 0).map(|(&id, _)| id) {
+        let largest = self.requests.iter().max_by_key(|(_, request)| request.stage.buffered_bytes());
+        if let Some(id) = largest.filter(|(_, request)| request.stage.buffered_bytes() > 0).map(|(&id, _)| id)
+        {
             self.reject(id, status, reason, events);
         }
     }
--- a/crates/herondock/src/front/fastcgi/connection.rs
+++ b/crates/herondock/src/front/fastcgi/connection.rs
@@ -190,10 +190,10 @@
 impl Connection {
     /// Counts the memory of requests that have been received in part, and refuses the largest one if there is no room.
     fn count_memory(&mut self, events: &mut Vec<Event>) {
-        if !self.memory.grow_to_sum(self.protocol.held_bytes(), self.protocol.largest_held_bytes()) {
+        if !self.memory.grow_to_sum(self.protocol.buffered_bytes(), self.protocol.largest_buffered_bytes()) {
             self.protocol.reject_largest(503, "there is no memory left for the request", events);
         }
-        self.memory.charge_to(self.protocol.held_bytes());
+        self.memory.charge_to(self.protocol.buffered_bytes());
     }
 }
 
--- a/crates/herondock/src/transport/fastcgi/connection.rs
+++ b/crates/herondock/src/transport/fastcgi/connection.rs
@@ -92,10 +92,10 @@
 
     /// Counts the memory of responses, and drops the largest one if there is no room.
     fn count_memory(&mut self) {
-        if !self.memory.grow_to(self.client.held_bytes()) {
+        if !self.memory.grow_to(self.client.buffered_bytes()) {
             self.client.discard_largest();
         }
-        self.memory.charge_to(self.client.held_bytes());
+        self.memory.charge_to(self.client.buffered_bytes());
     }
 
     /// Writes pending output. A write error does not end the connection: the application may have sent an answer
--- a/crates/herondock/src/transport/http.rs
+++ b/crates/herondock/src/transport/http.rs
@@ -12,11 +12,12 @@
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{timeout, Instant};
 
 /// Maximum time until a connection is ready for its next request after an answer has been read completely.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
@@ -117,13 +118,13 @@
         let (head, body) = answer.into_parts();
         let reservation = peer.settings.memory.reservation(Purpose::Answer);
         let reading = read_answer(body, max_body, reservation);
-        let body = match timeout_at(framing.deadline(&attempt, Instant::now()), reading).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(BodyError::Broken(_))) => {
+        let body = match framing.limit_time(reading, &attempt, Instant::now()).await {
+            Some(Ok(body)) => body,
+            Some(Err(BodyError::Broken(_))) => {
                 peer.connection_ended(Instant::now());
                 return (AttemptOutcome::Reset, None);
             }
-            Ok(Err(_)) | Err(_) => return (AttemptOutcome::Reset, None),
+            Some(Err(_)) | None => return (AttemptOutcome::Reset, None),
         };
         // Returned before the outcome is reported, so that the next attempt can use this connection.
         if framing == Framing::StatedLength {
@@ -162,14 +163,14 @@
 }
 
 impl Framing {
-    /// Time by which the body has to be complete.
-    fn deadline(self, attempt: &Attempt, now: Instant) -> Instant {
-        match self {
-            Framing::ConnectionEnd if attempt.is_repeatable => {
-                now + attempt.deadline.saturating_duration_since(now) / CONNECTION_END_DIVISOR
-            }
-            _ => attempt.deadline,
+    /// Reads a body; `None`: it has no end in the time that the attempt waits for one. The driver ends attempts at their
+    /// deadline.
+    async fn limit_time<F: Future>(self, reading: F, attempt: &Attempt, now: Instant) -> Option<F::Output> {
+        if self == Framing::StatedLength || !attempt.is_repeatable {
+            return Some(reading.await);
         }
+        let remaining = attempt.deadline.saturating_duration_since(now);
+        timeout(remaining / CONNECTION_END_DIVISOR, reading).await.ok()
     }
 }
 
